Rent only for what a machine rented now would start sooner

Cause: services planned on booting machines counted as late until the boot, so rentals went on until the cloud refused.

--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -525,11 +525,14 @@
         let mut counts: BTreeMap<(Order, JobId), u32> = BTreeMap::new();
         for server in self.plans.servers().filter(|s| !s.queue.is_empty()) {
             for (entry, start) in self.plans.starts(server.id, now) {
+                // A machine rented now would be up after `boot`: only what it would start sooner counts.
                 let late = match start {
                     None => true,
-                    Some(at) if entry.endless => at > now + Span(1500),
-                    Some(at) if entry.deadline != Time::NEVER => at + entry.run > entry.deadline && at > now + boot,
-                    Some(at) => at > now + boot,
+                    Some(at) if entry.endless => at > now + boot + Span(5000),
+                    Some(at) => {
+                        let goal = self.book.get(entry.job).map_or(Time::NEVER, |j| self.goal(j));
+                        at > now + boot + Span(3000) && at + entry.run > goal
+                    }
                 };
                 if late {
                     *counts.entry((entry.order, entry.job)).or_insert(0) += 1;
@@ -560,6 +563,19 @@
             .collect()
     }
 
+    /// When a job's tasks should be over: its deadline, or what the settings aim at for its class.
+    fn goal(&self, job: &Job) -> Time {
+        if job.record.deadline.is_some() {
+            return job.deadline();
+        }
+        let aims = self.settings.deployment.objectives.iter();
+        let within = aims
+            .filter(|o| o.kind == "finished" && o.class == job.record.class)
+            .filter_map(|o| o.within_s)
+            .fold(f64::MAX, f64::min);
+        if within == f64::MAX { Time(0) } else { job.submitted + Span::secs(within * 0.9) }
+    }
+
     /// How many tasks of a job its team's limit lets run at once.
     fn limit_left(&self, job: &Job) -> u32 {
         let Some(team) = self.settings.deployment.teams.iter().find(|t| t.name == job.record.team) else { return 0 };
