A new machine gets later tasks submitted again; ties go to cheap and used machines

Cause: queues planned on the first booting machines were not spread over later ones, so demand stayed high.

--- a/src/plan.rs
+++ b/src/plan.rs
@@ -11,6 +11,11 @@
 /// Tasks that one machine's queue holds at the most; what lies further off waits unplanned.
 pub const QUEUE_LIMIT: u32 = 64;
 
+/// Differences of predicted ends below these do not decide between machines: predictions are less
+/// exact than that. Services are told apart finely, since a cached image is certain.
+const FINE: u64 = 200;
+const COARSE: u64 = 2000;
+
 /// Where an entry stands in a queue: rank first, then the order of arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Order {
@@ -50,6 +55,9 @@
     pub zone: usize,
     /// When it can start tasks (later than now while it boots).
     pub ready: Time,
+    /// Among machines that are as good, the one with the smaller value is taken, for endless and
+    /// for other tasks: cheap and already used ones first.
+    pub bias: (u64, u64),
     /// Room that is free now.
     pub free: Room,
     /// Room that running tasks are predicted to give back.
@@ -110,18 +118,32 @@
     }
 
     /// Adds a machine or brings up to date what is known of it; its queue stays.
-    pub fn refresh(&mut self, id: MachineId, zone: usize, ready: Time, free: Room, releases: Vec<(Time, Room)>) {
-        let server = self.servers.entry(id).or_insert_with(|| Server {
-            id,
-            zone,
-            ready,
-            free,
-            releases: Vec::new(),
-            queue: Vec::new(),
-        });
-        server.ready = ready;
-        server.free = free;
-        server.releases = releases;
+    ///
+    /// A machine that is new gets the tasks that would start later elsewhere submitted again.
+    pub fn refresh(&mut self, now: Time, fresh: Server) {
+        if let Some(server) = self.servers.get_mut(&fresh.id) {
+            let queue = std::mem::take(&mut server.queue);
+            *server = Server { queue, ..fresh };
+            return;
+        }
+        let ids: Vec<MachineId> = self.servers.keys().copied().collect();
+        for id in ids {
+            let starts = self.starts(id, now);
+            let later = |start: &Option<Time>| start.is_none_or(|at| at > fresh.ready + Span(1000));
+            for (entry, _) in starts.iter().filter(|(_, start)| later(start)) {
+                if let Some(at) = self.servers[&id].queue.iter().rposition(|e| e.job == entry.job) {
+                    self.take(id, at);
+                }
+            }
+        }
+        self.servers.insert(fresh.id, fresh);
+    }
+
+    /// Room of a machine after a start in the same round.
+    pub fn set_free(&mut self, id: MachineId, free: Room) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.free = free;
+        }
     }
 
     /// Takes a machine out; its queue is unplanned again.
@@ -212,7 +234,7 @@
             }
         }
         for placed in 0..count {
-            let mut best: Option<((bool, u32, Time), usize)> = None;
+            let mut best: Option<((bool, u32, u64, u64), usize)> = None;
             for (i, (id, _, before, outcome)) in outcomes.iter().enumerate() {
                 let Some(outcome) = outcome else { continue };
                 if task.tied && world.zone_room(task.job, self.servers[id].zone, &zones) == 0 {
@@ -221,7 +243,9 @@
                 let misses = outcome.finish > task.deadline;
                 let pushed =
                     if misses || !self.parts.fewest_fallbacked { 0 } else { outcome.late.saturating_sub(*before) };
-                let key = (misses, pushed, outcome.finish);
+                let server = &self.servers[id];
+                let (bias, grain) = if task.endless { (server.bias.0, FINE) } else { (server.bias.1, COARSE) };
+                let key = (misses, pushed, outcome.finish.0 / grain, bias);
                 if best.is_none_or(|(other, _)| key < other) {
                     best = Some((key, i));
                 }
@@ -452,11 +476,15 @@
         [Some(10), None, Some(17)],
         [Some(12), Some(14), None],
     ];
+    fn server(id: u64) -> Server {
+        let (free, releases, queue) = (ONE, Vec::new(), Vec::new());
+        Server { id: MachineId(id), zone: 0, ready: Time(0), bias: (0, 0), free, releases, queue }
+    }
     const ONE: Room = Room { cpus: 1000, gpus: 0, memory: 0 };
 
     impl World for Table {
         fn predict(&self, job: JobId, server: &Server) -> Option<Span> {
-            TIMES[job.0 as usize - 1][server.id.0 as usize - 1].map(Span)
+            TIMES[job.0 as usize - 1][server.id.0 as usize - 1].map(|t| Span(t * COARSE))
         }
         fn zone_room(&self, _: JobId, _: usize, _: &BTreeMap<usize, u32>) -> u32 {
             1
@@ -471,7 +499,7 @@
             need: ONE,
             run: Span(0),
             endless: false,
-            deadline: Time(deadline),
+            deadline: Time(deadline * COARSE),
             tied: false,
         }
     }
@@ -488,7 +516,7 @@
     fn figure_2_of_the_paper_step_by_step() {
         let mut plans = Plans::default();
         for id in 1..=3 {
-            plans.refresh(MachineId(id), 0, Time(0), ONE, Vec::new());
+            plans.refresh(Time(0), server(id));
         }
         let steps = [
             (task(1, 3, 15), "T1 |  | "),
@@ -508,7 +536,7 @@
     fn without_a_machine_that_meets_the_deadline_the_soonest_finish_wins() {
         let mut plans = Plans::default();
         for id in 1..=3 {
-            plans.refresh(MachineId(id), 0, Time(0), ONE, Vec::new());
+            plans.refresh(Time(0), server(id));
         }
         plans.place(Time(0), task(3, 2, 1), 1, &Table);
         assert_eq!(shown(&plans), "T3 |  | ");
@@ -517,11 +545,11 @@
     #[test]
     fn an_idle_machine_takes_the_highest_priority_task_that_fits() {
         let mut plans = Plans::default();
-        plans.refresh(MachineId(1), 0, Time(0), ONE, Vec::new());
+        plans.refresh(Time(0), server(1));
         for t in [task(1, 3, 1000), task(2, 5, 1000), task(4, 4, 1000)] {
             plans.place(Time(0), t, 1, &Table);
         }
-        plans.refresh(MachineId(2), 0, Time(0), ONE, Vec::new());
+        plans.refresh(Time(0), Server { ready: Time(1_000_000), ..server(2) });
         let taken = plans.steal(MachineId(2), &|e, s| Table.predict(e.job, s)).unwrap();
         assert_eq!(taken.job, JobId(2));
         assert_eq!(shown(&plans), "T4,T1 | T2");
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -565,6 +565,7 @@
                 self.correction.learn(now.since(since), predicted);
             }
             if job.done.insert(task.index) {
+                debug!("done {task} attempt={attempt} machine={id} took={}s", now.since(since).as_secs());
                 job.placed.remove(&task.index);
                 job.pending.remove(task.index);
                 hold.reapable = false;
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -190,16 +190,25 @@
                 .filter(|h| h.occupies())
                 .filter_map(|h| release(h, now).map(|at| (at, h.need)))
                 .collect();
-            refreshed.push((*id, m.record.zone.clone(), ready, m.free(), releases));
+            refreshed.push((
+                *id,
+                m.record.zone.clone(),
+                ready,
+                m.free(),
+                releases,
+                m.record.kind.clone(),
+                m.record.spot,
+            ));
         }
         for (id, b) in self.fleet.booting() {
             let Some(flavor) = self.fleet.flavor(&b.kind) else { continue };
             seen.insert(*id);
             let expected = b.since + Span::secs(flavor.boot_s * 1.05);
             let ready = expected.max(now + Span(2000));
-            refreshed.push((*id, b.zone.clone(), ready, intake::capacity(flavor), Vec::new()));
+            let free = intake::capacity(flavor);
+            refreshed.push((*id, b.zone.clone(), ready, free, Vec::new(), b.kind.clone(), b.spot));
         }
-        for (id, zone, ready, free, releases) in refreshed {
+        for (id, zone, ready, free, releases, kind, spot) in refreshed {
             let zone = match self.zones.iter().position(|z| *z == zone) {
                 Some(at) => at,
                 None => {
@@ -207,7 +216,11 @@
                     self.zones.len() - 1
                 }
             };
-            self.plans.refresh(id, zone, ready, free, releases);
+            // Services fill cheap machines that are in use; other tasks go to spot machines first. The
+            // fuller machine is preferred, so that others become idle and can be given back.
+            let price = self.fleet.flavor(&kind).map_or(0, |f| (f.price / f.cpus.max(1.0) * 1e4) as u64);
+            let bias = (price << 32 | free.cpus, u64::from(!spot) << 32 | free.cpus);
+            self.plans.refresh(now, Server { id, zone, ready, bias, free, releases, queue: Vec::new() });
         }
         let gone: Vec<MachineId> = self.plans.servers().map(|s| s.id).filter(|id| !seen.contains(id)).collect();
         for id in gone {
@@ -381,10 +394,7 @@
             for _ in 0..64 {
                 let mut plans = std::mem::take(&mut self.plans);
                 let Some(machine) = self.machines.get(&id) else { break };
-                if let Some(server) = plans.server(id) {
-                    let (zone, ready, releases) = (server.zone, server.ready, server.releases.clone());
-                    plans.refresh(id, zone, ready, machine.free(), releases);
-                }
+                plans.set_free(id, machine.free());
                 let parts = self.parts();
                 let taken = plans.steal(id, &|entry, _| {
                     let job = self.book.get(entry.job)?;
