--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -339,6 +339,8 @@
     pub count: u32,
     /// Whether spot machines will do.
     pub spot: bool,
+    /// Whether ordinary machines may be rented for it.
+    pub ordinary: bool,
     /// Allowed types.
     pub types: Option<Vec<String>>,
     /// Allowed zone.
@@ -361,7 +363,7 @@
         let mut left = demand.count;
         let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
         let allowed = |place: &Place| {
-            (demand.spot || !place.2)
+            (if place.2 { demand.spot } else { demand.ordinary })
                 && demand.zone.as_ref().is_none_or(|z| *z == place.1)
                 && demand.types.as_ref().is_none_or(|t| t.contains(&place.0))
         };
@@ -460,6 +462,7 @@
             need: Room { cpus: 1000, gpus: 0, memory: 3200 },
             count: 3,
             spot: false,
+            ordinary: true,
             types: None,
             zone: None,
             zone_cap: 2,
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -14,6 +14,9 @@
 const SCHEDULE_EVERY: Span = Span(100);
 /// Least time between two looks at what to rent and return.
 const DEMAND_EVERY: Span = Span(500);
+/// Tasks that may use spot machines wait so long for one before an ordinary one is rented: it costs
+/// several times as much, and spot machines become free.
+const SPOT_PATIENCE: Span = Span(200_000);
 /// Tasks of one job that are planned at once.
 const BATCH: u32 = 128;
 
@@ -532,7 +535,8 @@
     fn demands(&self, now: Time) -> Vec<Demand> {
         let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(f64::MAX, f64::min);
         let boot = Span::secs(if boots == f64::MAX { 30.0 } else { boots });
-        let mut counts: BTreeMap<(Order, JobId), u32> = BTreeMap::new();
+        // Apart are those that would wait so long that ordinary machines are rented for them too.
+        let mut counts: BTreeMap<(Order, JobId, bool), u32> = BTreeMap::new();
         for server in self.plans.servers().filter(|s| !s.queue.is_empty()) {
             for (entry, start) in self.plans.starts(server.id, now) {
                 // A machine rented now would be up after `boot`: only what it would start sooner counts.
@@ -545,25 +549,29 @@
                     }
                 };
                 if late {
-                    *counts.entry((entry.order, entry.job)).or_insert(0) += 1;
+                    let long = start.is_none_or(|at| at > now + SPOT_PATIENCE);
+                    *counts.entry((entry.order, entry.job, long)).or_insert(0) += 1;
                 }
             }
         }
         for job in self.book.live().filter(|j| self.startable(j, now)) {
             let left = job.pending.len().saturating_sub(self.plans.planned(job.record.id));
             if left > 0 {
-                *counts.entry((Order { rank: job.record.rank, seq: job.seq }, job.record.id)).or_insert(0) += left;
+                let long = now.since(job.submitted) > SPOT_PATIENCE;
+                let order = Order { rank: job.record.rank, seq: job.seq };
+                *counts.entry((order, job.record.id, long)).or_insert(0) += left;
             }
         }
         counts
             .into_iter()
-            .filter_map(|((_, id), count)| {
+            .filter_map(|((_, id, long), count)| {
                 let job = self.book.get(id)?;
                 let limit = self.limit_left(job);
                 Some(Demand {
                     need: job.record.need,
                     count: count.min(limit),
                     spot: job.record.spot,
+                    ordinary: long || !job.record.spot,
                     types: job.record.types.clone(),
                     zone: job.record.zone.clone(),
                     zone_cap: job.record.zone_cap(),
