Services wait on the machine where room is made for them

Cause: preemption freed room that lower tasks took again, while the service stayed planned elsewhere.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::settings::CloudLimits;
 use crate::store::Reply;
-use crate::units::{MachineId, Room, Span, Time, Token};
+use crate::units::{JobId, MachineId, Room, Span, Time, Token};
 use crate::wire::{Flavor, Flavors, MachineList, MachineNames, RentRequest};
 use log::info;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -333,6 +333,8 @@
 /// Like tasks that wait for machines.
 #[derive(Debug, Clone)]
 pub struct Demand {
+    /// One job of these tasks.
+    pub job: JobId,
     /// What each takes.
     pub need: Room,
     /// How many.
@@ -459,6 +461,7 @@
     fn like_tasks_are_bought_for_as_a_class_and_spread() {
         let flavors = [crate::intake::tests::flavor()];
         let demand = Demand {
+            job: JobId(1),
             need: Room { cpus: 1000, gpus: 0, memory: 3200 },
             count: 3,
             spot: false,
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -210,6 +210,18 @@
         self.count(job, -1);
     }
 
+    /// Moves one waiting task of a job to another machine's queue, where room is being made for it.
+    pub fn reassign(&mut self, job: JobId, from: MachineId, to: MachineId, run: Span) {
+        let at = self.servers.get(&from).and_then(|s| s.queue.iter().position(|e| e.job == job));
+        if let Some(at) = at
+            && self.servers.contains_key(&to)
+        {
+            let entry = Entry { run, count: 1, ..self.servers[&from].queue[at] };
+            self.take(from, at);
+            self.add(to, entry);
+        }
+    }
+
     fn add(&mut self, id: MachineId, entry: Entry) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         let at = position(&server.queue, entry.order);
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -495,11 +495,12 @@
                     }
                     machine.stop(attempt, 0.0);
                 }
-                if mid != planned_on {
-                    // Planned anew in the next round, when the room shows.
-                    self.plans.remove_job(id);
-                    self.dirty = true;
-                    break;
+                // It waits where room is made for it: planned elsewhere, lower tasks would take the room
+                // again and again.
+                if mid != planned_on
+                    && let Some(run) = self.book.get(id).and_then(|job| self.parts().predicted(job, mid))
+                {
+                    self.plans.reassign(id, planned_on, mid, run);
                 }
             }
         }
@@ -568,6 +569,7 @@
                 let job = self.book.get(id)?;
                 let limit = self.limit_left(job);
                 Some(Demand {
+                    job: id,
                     need: job.record.need,
                     count: count.min(limit),
                     spot: job.record.spot,
@@ -613,6 +615,9 @@
         if demands.is_empty() {
             return;
         }
+        for d in &demands {
+            debug!("demand job={} count={} spot={} ordinary={}", d.job, d.count, d.spot, d.ordinary);
+        }
         let mut zones: BTreeMap<String, u64> = BTreeMap::new();
         for machine in self.machines.values().filter(|m| !m.record.spot) {
             *zones.entry(machine.record.zone.clone()).or_insert(0) += machine.capacity.cpus;
