--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -68,6 +68,7 @@
     token: Option<Token>,
     valid_until: Time,
     known: Option<String>,
+    eager_until: Time,
     /// When the state service answered last.
     pub answered: Option<Time>,
 }
@@ -92,6 +93,7 @@
             token: None,
             valid_until: Time(0),
             known: None,
+            eager_until: Time(0),
             answered: None,
         }
     }
@@ -115,6 +117,7 @@
     pub fn hurry(&mut self, now: Time) {
         if self.token.is_none() {
             self.next = self.next.min(now + Span(20));
+            self.eager_until = now + self.ttl + Span(500);
         }
     }
 
@@ -239,7 +242,9 @@
             self.campaign(now, kv.version, out);
         } else {
             self.set_known(Some(holder.node), out);
-            self.next = now + self.pause(300, 450);
+            // With its link gone the leader is likely dead: its lease ends soon.
+            let eager = self.eager_until > now;
+            self.next = now + if eager { self.pause(50, 100) } else { self.pause(200, 300) };
         }
     }
 
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -702,8 +702,8 @@
     /// Looks after silent, late and drained machines.
     fn watch(&mut self, now: Time, certain: bool) {
         let times = &self.settings.deployment.workers;
-        let overdue = Span::secs(times.report_s * 1.25 + 1.0);
-        let patience = Span::secs((times.report_s * 4.0).max(7.0));
+        let overdue = Span::secs(times.report_s * 1.25 + 0.5);
+        let patience = Span::secs(times.report_s * 1.25 + 1.5);
         // A worker's clock may run slow by as much as ours runs fast, and a process may be late.
         let lease_over = Span::secs(times.lease_s * 1.002 + 1.5);
         let silent = |m: &Machine| now.since(m.heard) >= overdue;
@@ -714,7 +714,7 @@
         let mut give_back: Vec<(MachineId, &'static str)> = Vec::new();
         for (id, m) in &mut self.machines {
             if silent(m) {
-                if m.flight.is_none() && now.since(m.probed) >= Span(1000) {
+                if m.flight.is_none() && now.since(m.probed) >= Span(800) {
                     m.wants_command = true;
                 }
                 if m.fenced && now.since(m.answered) >= lease_over && !m.holds.is_empty() {
@@ -723,8 +723,10 @@
                     m.drop_holds(&mut lost);
                     events.push((*id, lost));
                 }
+                // A machine that neither reports nor takes connections is most likely dead; its services
+                // wait for this verdict.
                 let limit = if cut_off { lease_over } else { patience };
-                if now.since(m.heard) >= limit {
+                if now.since(m.heard) >= limit && m.unanswered >= 2 {
                     give_back.push((*id, "silent"));
                 }
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -203,7 +203,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Tuning {
-            leader_lease: Span(2500),
+            leader_lease: Span(1500),
             commit_every: Span(150),
             idle_ordinary: Span(25_000),
             idle_spot: Span(12_000),
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -130,6 +130,8 @@
     pub wants_command: bool,
     /// Last direct attempt to reach it.
     pub probed: Time,
+    /// Direct attempts without answer since it was heard of.
+    pub unanswered: u32,
     /// Gets no new tasks; why.
     pub draining: Option<&'static str>,
     /// Idle since.
@@ -187,6 +189,7 @@
             flight: None,
             wants_command: false,
             probed: Time(0),
+            unanswered: 0,
             draining: None,
             idle_since: None,
             failed_jobs: BTreeSet::new(),
@@ -236,6 +239,7 @@
         }
         self.seq = seq;
         self.heard = now;
+        self.unanswered = 0;
         self.record.endpoint.clone_from(&report.endpoint);
         self.notice = report.notice_s.map(|s| now + Span::secs(s));
         if report.token == token.0 && !self.fenced {
@@ -395,6 +399,9 @@
 
     /// A direct command was answered (`answered`) or may still be executed.
     pub fn command_over(&mut self, command: u64, answered: bool) {
+        if !answered {
+            self.unanswered += 1;
+        }
         if self.flight.is_some_and(|f| f.id == command) {
             self.flight = None;
         }
