--- a/src/plan.rs
+++ b/src/plan.rs
@@ -16,6 +16,9 @@
 const FINE: u64 = 200;
 const COARSE: u64 = 2000;
 
+/// What pushing lower tasks aside costs a service; more than `FINE`, so that free room is preferred.
+const PUSH_ASIDE: Span = Span(400);
+
 /// Where an entry stands in a queue: rank first, then the order of arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Order {
@@ -60,6 +63,8 @@
     pub bias: (u64, u64),
     /// Room that is free now.
     pub free: Room,
+    /// Room of tasks that the most important services may push aside.
+    pub soft: Room,
     /// Room that running tasks are predicted to give back.
     pub releases: Vec<(Time, Room)>,
     /// Tasks that wait for this machine, most important first.
@@ -406,12 +411,26 @@
 /// Lets a machine's queue start in order as room frees and tells each task's start.
 fn walk(server: &Server, now: Time, insert: Option<&Entry>, mut tell: impl FnMut(&Entry, Option<Time>, bool)) {
     let mut free = server.free;
+    let mut soft = server.soft;
     let mut clock = now.max(server.ready);
     let mut heap: BinaryHeap<Reverse<(Time, u64, u64, u64)>> =
         server.releases.iter().map(|(at, room)| Reverse((*at, room.cpus, room.gpus, room.memory))).collect();
     let at = insert.map(|e| position(&server.queue, e.order));
     let mut run = |entry: &Entry, is_new: bool| {
         for _ in 0..if is_new { 1 } else { entry.count } {
+            if entry.endless && entry.order.rank == 0 && !entry.need.fits(&free) {
+                // Room is made for services at once, at the cost of lower tasks.
+                let mut all = free;
+                all.add(&soft);
+                if entry.need.fits(&all) {
+                    let mut from_soft = entry.need;
+                    from_soft.sub(&free);
+                    free.sub(&entry.need);
+                    soft.sub(&from_soft);
+                    tell(entry, Some(clock + PUSH_ASIDE), is_new);
+                    continue;
+                }
+            }
             while !entry.need.fits(&free) {
                 let Some(Reverse(release)) = heap.pop() else { break };
                 clock = clock.max(release.0);
@@ -489,8 +508,8 @@
         [Some(12), Some(14), None],
     ];
     fn server(id: u64) -> Server {
-        let (free, releases, queue) = (ONE, Vec::new(), Vec::new());
-        Server { id: MachineId(id), zone: 0, ready: Time(0), bias: (0, 0), free, releases, queue }
+        let (free, soft, releases, queue) = (ONE, Room::default(), Vec::new(), Vec::new());
+        Server { id: MachineId(id), zone: 0, ready: Time(0), bias: (0, 0), free, soft, releases, queue }
     }
     const ONE: Room = Room { cpus: 1000, gpus: 0, memory: 0 };
 
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -123,6 +123,12 @@
     Some(end.max(now + Span((predicted.0 / 10).max(300))))
 }
 
+/// Whether a task may be stopped to make room for one of this rank: it must be of a lower one, end by
+/// itself, and not be stopping already.
+fn pushable(hold: &Hold, rank: u8) -> bool {
+    hold.claimed && hold.occupies() && hold.stop.is_none() && hold.rank > rank && hold.predicted.is_some()
+}
+
 impl Reign {
     fn parts(&self) -> Parts<'_> {
         Parts {
@@ -193,15 +199,12 @@
                 .filter(|h| h.occupies())
                 .filter_map(|h| release(h, now).map(|at| (at, h.need)))
                 .collect();
-            refreshed.push((
-                *id,
-                m.record.zone.clone(),
-                ready,
-                m.free(),
-                releases,
-                m.record.kind.clone(),
-                m.record.spot,
-            ));
+            let mut soft = Room::default();
+            for hold in m.holds.values().filter(|h| pushable(h, 0)) {
+                soft.add(&hold.need);
+            }
+            let room = (m.free(), soft);
+            refreshed.push((*id, m.record.zone.clone(), ready, room, releases, m.record.kind.clone(), m.record.spot));
         }
         for (id, b) in self.fleet.booting() {
             let Some(flavor) = self.fleet.flavor(&b.kind) else { continue };
@@ -209,9 +212,9 @@
             let expected = b.since + Span::secs(flavor.boot_s * 1.05);
             let ready = expected.max(now + Span(2000));
             let free = intake::capacity(flavor);
-            refreshed.push((*id, b.zone.clone(), ready, free, Vec::new(), b.kind.clone(), b.spot));
+            refreshed.push((*id, b.zone.clone(), ready, (free, Room::default()), Vec::new(), b.kind.clone(), b.spot));
         }
-        for (id, zone, ready, free, releases, kind, spot) in refreshed {
+        for (id, zone, ready, (free, soft), releases, kind, spot) in refreshed {
             let zone = match self.zones.iter().position(|z| *z == zone) {
                 Some(at) => at,
                 None => {
@@ -223,7 +226,7 @@
             // fuller machine is preferred, so that others become idle and can be given back.
             let price = self.fleet.flavor(&kind).map_or(0, |f| (f.price / f.cpus.max(1.0) * 1e4) as u64);
             let bias = (price << 32 | free.cpus, u64::from(!spot) << 32 | free.cpus);
-            self.plans.refresh(now, Server { id, zone, ready, bias, free, releases, queue: Vec::new() });
+            self.plans.refresh(now, Server { id, zone, ready, bias, free, soft, releases, queue: Vec::new() });
         }
         let gone: Vec<MachineId> = self.plans.servers().map(|s| s.id).filter(|id| !seen.contains(id)).collect();
         for id in gone {
@@ -453,13 +456,7 @@
                     let mut victims: Vec<(u64, crate::units::Attempt, Room)> = machine
                         .holds
                         .iter()
-                        .filter(|(_, h)| {
-                            h.claimed
-                                && h.occupies()
-                                && h.stop.is_none()
-                                && h.rank > entry.order.rank
-                                && h.predicted.is_some()
-                        })
+                        .filter(|(_, h)| pushable(h, entry.order.rank))
                         .map(|(a, h)| {
                             let ran = h.running_since.map_or(Span(0), |r| now.since(r));
                             let every = self.book.get(h.task.job).map_or(0, |j| j.record.checkpoint.0);
@@ -593,7 +590,7 @@
             .filter(|o| o.kind == "finished" && o.class == job.record.class)
             .filter_map(|o| o.within_s)
             .fold(f64::MAX, f64::min);
-        if within == f64::MAX { Time(0) } else { job.submitted + Span::secs(within * 0.9) }
+        if within == f64::MAX { Time(0) } else { job.submitted + Span::secs(within * 0.5) }
     }
 
     /// How many tasks of a job its team's limit lets run at once.
