--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -560,6 +560,7 @@
                 *counts.entry((order, job.record.id, long)).or_insert(0) += left;
             }
         }
+        let headroom = self.headroom(now, boot);
         counts
             .into_iter()
             .filter_map(|((_, id, long), count)| {
@@ -576,10 +577,53 @@
                     zone_cap: job.record.zone_cap(),
                 })
             })
+            .chain(headroom)
             .filter(|d| d.count > 0)
             .collect()
     }
 
+    /// Ordinary machines for services that are likely to come before a machine rented for them
+    /// would be up: without room, even that of lower tasks, they would wait for the boot.
+    fn headroom(&self, now: Time, boot: Span) -> Option<Demand> {
+        const WINDOW: Span = Span(120_000);
+        const SLOT: Span = Span(10_000);
+        // Jobs that come all at once, as at a start, say little of what comes next.
+        const SLOT_LIMIT: u32 = 6;
+        let mut slots: BTreeMap<u64, u32> = BTreeMap::new();
+        let mut typical: Option<&Job> = None;
+        for job in self.book.live().filter(|j| j.record.service && j.record.rank == 0 && j.record.zone.is_none()) {
+            let age = now.since(job.submitted);
+            if age < WINDOW {
+                *slots.entry(age.0 / SLOT.0).or_insert(0) += job.record.tasks;
+            }
+            if typical.is_none_or(|t| t.record.need.cpus < job.record.need.cpus) {
+                typical = Some(job);
+            }
+        }
+        let job = typical?;
+        let rate = slots.values().map(|n| f64::from((*n).min(SLOT_LIMIT))).sum::<f64>() / WINDOW.as_secs();
+        let wanted = ((rate * (boot.as_secs() + 10.0) * 1.5).ceil() as u64).max(3);
+        let mut there = 0;
+        for server in self.plans.servers() {
+            let parts = self.parts();
+            if parts.allowed(job, server.id) {
+                let mut room = server.free;
+                room.add(&server.soft);
+                there += job.record.need.times_in(&room);
+            }
+        }
+        Some(Demand {
+            job: job.record.id,
+            need: job.record.need,
+            count: wanted.saturating_sub(there) as u32,
+            spot: false,
+            ordinary: true,
+            types: None,
+            zone: None,
+            zone_cap: u32::MAX,
+        })
+    }
+
     /// When a job's tasks should be over: its deadline, or what the settings aim at for its class.
     fn goal(&self, job: &Job) -> Time {
         if job.record.deadline.is_some() {
