--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -20,6 +20,9 @@
 /// Tasks of one job that are planned at once.
 const BATCH: u32 = 128;
 
+/// Why a machine is drained whose services were moved to others.
+const CONSOLIDATED: &str = "its services fit elsewhere";
+
 /// What the plan may know, borrowed beside the plan itself.
 struct View<'a> {
     reign: &'a Parts<'a>,
@@ -156,6 +159,7 @@
             if certain {
                 self.rent(now, out);
                 self.return_idle(now);
+                self.consolidate(now);
             }
         }
     }
@@ -560,7 +564,7 @@
                 *counts.entry((order, job.record.id, long)).or_insert(0) += left;
             }
         }
-        let headroom = self.headroom(now, boot);
+        let headroom = self.headroom(boot);
         counts
             .into_iter()
             .filter_map(|((_, id, long), count)| {
@@ -582,15 +586,15 @@
             .collect()
     }
 
-    /// Ordinary machines for services that are likely to come before a machine rented for them
-    /// would be up: without room, even that of lower tasks, they would wait for the boot.
-    fn headroom(&self, now: Time, boot: Span) -> Option<Demand> {
+    /// How many tasks of services are likely to come within a boot, and a job like them.
+    fn expected_services(&self, boot_s: f64) -> Option<(&Job, u64)> {
         const WINDOW: Span = Span(120_000);
         const SLOT: Span = Span(10_000);
         // Jobs that come all at once, as at a start, say little of what comes next.
         const SLOT_LIMIT: u32 = 6;
         let mut slots: BTreeMap<u64, u32> = BTreeMap::new();
         let mut typical: Option<&Job> = None;
+        let now = self.scheduled;
         for job in self.book.live().filter(|j| j.record.service && j.record.rank == 0 && j.record.zone.is_none()) {
             let age = now.since(job.submitted);
             if age < WINDOW {
@@ -602,7 +606,13 @@
         }
         let job = typical?;
         let rate = slots.values().map(|n| f64::from((*n).min(SLOT_LIMIT))).sum::<f64>() / WINDOW.as_secs();
-        let wanted = ((rate * (boot.as_secs() + 10.0) * 1.5).ceil() as u64).max(3);
+        Some((job, ((rate * (boot_s + 10.0) * 1.5).ceil() as u64).max(3)))
+    }
+
+    /// Ordinary machines for services that are likely to come before a machine rented for them
+    /// would be up: without room, even that of lower tasks, they would wait for the boot.
+    fn headroom(&self, boot: Span) -> Option<Demand> {
+        let (job, wanted) = self.expected_services(boot.as_secs())?;
         let mut there = 0;
         for server in self.plans.servers() {
             let parts = self.parts();
@@ -677,6 +687,84 @@
         self.hired(now, events, out);
     }
 
+    /// Empties an ordinary machine whose services fit on others that hold their images: a replica is
+    /// moved within a fraction of a second, and an ordinary machine is dear.
+    fn consolidate(&mut self, now: Time) {
+        // A start counts only if the task is not stopped within 30 s.
+        const SETTLED: Span = Span(40_000);
+        let draining = self.machines.values().any(|m| m.draining == Some(CONSOLIDATED));
+        if !self.open() || draining || now.since(self.since) < SETTLED || self.fleet.renting() {
+            return;
+        }
+        let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(0.0, f64::max);
+        let mut best: Option<(u64, MachineId)> = None;
+        for (id, m) in self.machines.iter().filter(|(_, m)| m.usable() && !m.record.spot) {
+            let settled = |h: &Hold| h.running_since.is_some_and(|r| now.since(r) > SETTLED) && h.stop.is_none();
+            let (services, others): (Vec<&Hold>, Vec<&Hold>) =
+                m.holds.values().filter(|h| h.occupies()).partition(|h| h.predicted.is_none());
+            if services.is_empty() || !others.is_empty() || !services.iter().all(|h| settled(h)) {
+                continue;
+            }
+            if now.since(m.since) < Span(60_000) || self.plans.server(*id).is_some_and(|s| !s.queue.is_empty()) {
+                continue;
+            }
+            let price = self.fleet.flavor(&m.record.kind).map_or(0.0, |f| f.price);
+            let saving = (price * 1e4) as u64 / (services.len() as u64);
+            if best.is_none_or(|(other, _)| saving > other) && self.fits_elsewhere(*id, &services, boots) {
+                best = Some((saving, *id));
+            }
+        }
+        let Some((_, id)) = best else { return };
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        info!("consolidating machine={id} services={}", m.holds.values().filter(|h| h.occupies()).count());
+        m.draining = Some(CONSOLIDATED);
+        let attempts: Vec<_> = m.holds.iter().filter(|(_, h)| h.occupies()).map(|(a, _)| *a).collect();
+        for attempt in attempts {
+            m.stop(attempt, 0.0);
+        }
+        self.plans.remove(id);
+    }
+
+    /// Whether services of a machine fit into free room of others that hold their images, with room
+    /// left for those that are likely to come.
+    fn fits_elsewhere(&self, from: MachineId, services: &[&Hold], boot_s: f64) -> bool {
+        let parts = self.parts();
+        let mut rooms: Vec<(&Machine, Room)> = self
+            .machines
+            .values()
+            .filter(|m| m.id() != from && m.usable() && !m.record.spot)
+            .map(|m| (m, m.free()))
+            .collect();
+        // Full machines first, so that larger room stays together.
+        rooms.sort_by_key(|(_, room)| room.cpus);
+        let mut moved: HashMap<(JobId, usize), u32> = HashMap::new();
+        for hold in services {
+            let Some(job) = self.book.get(hold.task.job) else { return false };
+            let zones = parts.by_zone(job);
+            let mut found = false;
+            for (m, room) in &mut rooms {
+                let Some(zone) = parts.zone(&m.record.zone) else { continue };
+                let there =
+                    zones.get(&zone).copied().unwrap_or(0) + moved.get(&(job.record.id, zone)).copied().unwrap_or(0);
+                // Counted as if the replica stayed where it is: on the safe side.
+                let zone_free = there < job.record.zone_cap() && !job.record.together;
+                if hold.need.fits(room) && m.images.contains(&hold.image) && parts.allowed(job, m.id()) && zone_free {
+                    room.sub(&hold.need);
+                    *moved.entry((job.record.id, zone)).or_insert(0) += 1;
+                    found = true;
+                    break;
+                }
+            }
+            if !found {
+                return false;
+            }
+        }
+        let Some((job, wanted)) = self.expected_services(boot_s) else { return true };
+        let left: u64 =
+            rooms.iter().filter(|(m, _)| parts.allowed(job, m.id())).map(|(_, r)| job.record.need.times_in(r)).sum();
+        left >= wanted
+    }
+
     /// Gives back what has been idle: a machine costs a minimum that is better used than wasted.
     fn return_idle(&mut self, now: Time) {
         const MINIMUM_CHARGE: Span = Span(60_000);
