--- a/src/intake.rs
+++ b/src/intake.rs
@@ -331,6 +331,10 @@
     pub fn live(&self) -> impl Iterator<Item = &Job> {
         self.live.values()
     }
+    /// How many jobs are not over.
+    pub fn open(&self) -> usize {
+        self.live.len()
+    }
     /// How a job ended, if it did.
     pub fn ended(&self, id: JobId) -> Option<Final> {
         self.finals.get(&id).copied()
--- a/src/records.rs
+++ b/src/records.rs
@@ -185,6 +185,11 @@
         self.queue.len() + self.committing.len()
     }
 
+    /// Whether a fact can be kept: it must fit into one value.
+    pub fn fits(&self, record: &Record) -> bool {
+        serde_json::to_string(record).is_ok_and(|text| text.len() + 2 <= self.value_bytes)
+    }
+
     /// Queues a fact for the next commit.
     pub fn push(&mut self, record: Record) {
         self.queue.push_back(record);
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -20,6 +20,11 @@
 /// How long a commit may take before its users are told to come back.
 const COMMIT_PATIENCE: Span = Span(1800);
 
+/// Jobs that are kept open per MB of this process's memory.
+const JOBS_PER_MB: f64 = 250.0;
+/// Facts that may wait to become durable.
+const BACKLOG_LIMIT: usize = 5000;
+
 /// A user who waits for a commit.
 #[derive(Debug, Clone, Copy)]
 struct Waiter {
@@ -171,7 +176,7 @@
                 return Some(self.get(certain, &id.to_string()));
             }
         }
-        let record = match parsed {
+        let mut record = match parsed {
             Ok(record) => record,
             Err(refusal) => return Some(refused(&refusal)),
         };
@@ -188,6 +193,21 @@
         if let Err(refusal) = intake::can_ever_run(&record, teams, self.fleet.flavors()) {
             return Some(refused(&refusal));
         }
+        // Types that the cloud does not have cannot matter, and need no room in the log.
+        let fleet = &self.fleet;
+        if let Some(types) = &mut record.types {
+            types.sort_unstable();
+            types.dedup();
+            types.retain(|t| fleet.flavor(t).is_some());
+        }
+        if !self.records.fits(&Record::Job(record.clone())) {
+            return Some(refused(&Refusal::Malformed("Reel", "the job's names are too long to be kept")));
+        }
+        let limit = (self.settings.deployment.resources.memory_mb.max(16.0) * JOBS_PER_MB) as usize;
+        if self.book.open() >= limit || self.records.backlog() >= BACKLOG_LIMIT {
+            // Answered at once: the user is told when to come back.
+            return Some(Answer { retry_after: 10, ..unavailable("too many jobs are open") });
+        }
         self.accepting.entry(record.id).or_default().push(waiter);
         self.records.push(Record::Job(record.clone()));
         self.book.enter(record, now, true);
@@ -264,7 +284,7 @@
                     info!(
                         "loaded token={} jobs={} over={} machines={}",
                         self.token,
-                        self.book.live().count(),
+                        self.book.open(),
                         self.book.finals(),
                         self.machines.len()
                     );
@@ -628,7 +648,12 @@
         for event in events {
             match event {
                 fleet::Event::Call(id, call) => out.push(Effect::Cloud(self.token.0, id, call)),
-                fleet::Event::Failed(id) => self.fleet.give_back(id, "failed"),
+                fleet::Event::Failed(id) => {
+                    if let Some(machine) = self.machines.get_mut(&id) {
+                        machine.draining.get_or_insert("failed");
+                    }
+                    self.fleet.give_back(id, "failed");
+                }
                 fleet::Event::Returned(ids) => {
                     self.dirty = true;
                     for id in ids {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -8,7 +8,7 @@
 use crate::peers::{Answer, Frame};
 use crate::settings::Settings;
 use crate::units::{Time, Wall};
-use log::{error, info};
+use log::{debug, info};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::collections::HashMap;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -114,7 +114,9 @@
                 Effect::Forward(node, id, call) => {
                     let sent = links.get(&node).is_some_and(|to| to.try_send(Frame::Request(id, call)).is_ok());
                     if !sent {
-                        error!("cannot forward to {node}");
+                        debug!("cannot forward to {node}");
+                        let answer = Answer { status: 503, retry_after: 1, body: "{}".into() };
+                        let _ = tell.try_send(Message::Input(Input::Forwarded(id, answer)));
                     }
                 }
             }
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -570,6 +570,13 @@
             .filter_map(|((_, id, long), count)| {
                 let job = self.book.get(id)?;
                 let limit = self.limit_left(job);
+                // An ordinary machine has to be worth its price: one runs several of these tasks in turn.
+                let turns = if long && job.record.spot {
+                    (100_000 / job.record.estimate.0.max(1)).clamp(1, 4) as u32
+                } else {
+                    1
+                };
+                let count = count.div_ceil(turns);
                 Some(Demand {
                     job: id,
                     need: job.record.need,
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,933 @@
+//! A small world in simulated time: state service, cloud, workers and users as PROTOCOL describes
+//! them, around real controllers. It checks the rules at every step; see `Sim::broken`.
+//!
+//! Everything is deterministic: one queue of events, fixed seeds, no clocks and no sockets.
+#![allow(dead_code)]
+
+use caperstile::controller::{Controller, Effect, Input, Origin, Slot};
+use caperstile::fleet::CloudCall;
+use caperstile::peers::{Answer, UserCall};
+use caperstile::settings::Settings;
+use caperstile::store::{Reply, StateCall};
+use caperstile::units::{MachineId, Time, Wall};
+use caperstile::wire::{Change, Commands, Order, Report, ReportAnswer, ReportedTask, TaskState, Txn};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+pub const NODES: [&str; 3] = ["n0", "n1", "n2"];
+const REPORT_MS: u64 = 2000;
+const LEASE_MS: u64 = 16_000;
+const CANCEL_MS: u64 = 41_000;
+const BOOT_MS: u64 = 5000;
+
+pub fn settings(node: usize) -> Settings {
+    let mut text = format!("node = \"{}\"\napi_addr = \"127.0.0.1:1\"\npeer_bind = \"127.0.0.1:2\"\n", NODES[node]);
+    for other in NODES.iter().filter(|n| **n != NODES[node]) {
+        text += &format!("[[seeds]]\nnode = \"{other}\"\naddress = \"127.0.0.1:3\"\n");
+    }
+    text += "[external]\ncloud = \"127.0.0.1:4\"\nstate = \"127.0.0.1:5\"\n[deployment]\nsize = 3\n\
+        [[deployment.teams]]\nname = \"crew\"\n[[deployment.teams]]\nname = \"small\"\ncpus_max = 4.0\n\
+        [deployment.workers]\nreport_s = 2.0\nlease_s = 16.0\ncancel_s = 41.0\n\
+        [deployment.state]\nrps = 200.0\nwrite_rps = 20.0\nvalue_kb = 1.0\ntxn_ops = 16\n\
+        [deployment.cloud]\nrps = 6.0\nlist_lag_s = 2.0\n[deployment.resources]\nmemory_mb = 56.0\n";
+    let mut settings = Settings::parse(&text).expect("the sample is valid");
+    settings.tuning.snapshot_every = 10;
+    settings
+}
+
+/// The state service's stand-in.
+#[derive(Default)]
+pub struct State {
+    pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    ledger: u64,
+    pub down: bool,
+    pub deaf: BTreeSet<usize>,
+    /// Answers still to be lost although the request is carried out.
+    pub mute: u32,
+    /// Requests after which only 503 comes: cuts a snapshot off at a step.
+    pub writes_left: Option<u32>,
+}
+
+impl State {
+    fn expire(&mut self, now: u64) {
+        let over: Vec<u64> = self.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(id, _)| *id).collect();
+        for id in over {
+            self.leases.remove(&id);
+            let gone: Vec<String> = self.keys.iter().filter(|(_, v)| v.2 == Some(id)).map(|(k, _)| k.clone()).collect();
+            for key in gone {
+                self.keys.remove(&key);
+                self.ledger += 1;
+            }
+        }
+    }
+
+    fn handle(&mut self, now: u64, node: usize, call: &StateCall) -> (u16, Value) {
+        if self.down || self.deaf.contains(&node) {
+            return (503, json!({}));
+        }
+        self.expire(now);
+        match call {
+            StateCall::Get(key) => match self.keys.get(key) {
+                Some((v, stamp, lease)) => (200, json!({"K": key, "V": v, "Stamp": stamp, "Permit": lease})),
+                None => (404, json!({"Ledger": self.ledger})),
+            },
+            StateCall::Scan { prefix, after } => {
+                let found: Vec<Value> = self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix.as_str()) && after.as_ref().is_none_or(|a| *k > a))
+                    .map(|(k, v)| json!({"K": k, "V": v.0, "Stamp": v.1}))
+                    .collect();
+                let more = found.len() > 5;
+                (200, json!({"Pairs": found[..found.len().min(5)], "More": more, "Ledger": self.ledger}))
+            }
+            StateCall::Grant(ttl) => {
+                self.ledger += 1;
+                self.leases.insert(self.ledger, (ttl.0, now + ttl.0));
+                (200, json!({"Permit": self.ledger}))
+            }
+            StateCall::Renew(lease) => match self.leases.get_mut(&lease.0) {
+                Some((ttl, end)) => {
+                    *end = now + *ttl;
+                    (200, json!({}))
+                }
+                None => (404, json!({})),
+            },
+            StateCall::Txn(txn) => self.txn(txn),
+        }
+    }
+
+    fn txn(&mut self, txn: &Txn) -> (u16, Value) {
+        if let Some(left) = &mut self.writes_left {
+            if *left == 0 {
+                return (503, json!({}));
+            }
+            *left -= 1;
+        }
+        let stamp = |key: &str, keys: &BTreeMap<String, (Value, u64, Option<u64>)>| keys.get(key).map_or(0, |v| v.1);
+        let failed: Vec<&String> =
+            txn.conditions.iter().filter(|c| stamp(&c.key, &self.keys) != c.version).map(|c| &c.key).collect();
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "Ledger": self.ledger}));
+        }
+        self.ledger += 1;
+        for change in &txn.changes {
+            match change {
+                Change::Put { key, value, lease } => {
+                    if lease.is_some_and(|l| !self.leases.contains_key(&l)) {
+                        return (400, json!({"error": "no such lease"}));
+                    }
+                    assert!(value.to_string().len() <= 1024, "a value is larger than the settings allow");
+                    self.keys.insert(key.clone(), (value.clone(), self.ledger, *lease));
+                }
+                Change::Delete { key } => {
+                    self.keys.remove(key);
+                }
+            }
+        }
+        (200, json!({"Ledger": self.ledger}))
+    }
+}
+
+#[derive(Debug, Clone)]
+struct OnWorker {
+    task: String,
+    state: TaskState,
+    cause: Option<&'static str>,
+    saved: bool,
+}
+
+/// A worker's stand-in.
+pub struct Worker {
+    zone: String,
+    spot: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<u64, OnWorker>,
+    images: BTreeSet<String>,
+    done: BTreeSet<String>,
+    node: usize,
+    waiting: Option<u64>,
+    last_sent: u64,
+    renewed: u64,
+    notice_until: Option<u64>,
+    pub sick: bool,
+    pub cut: bool,
+    alive: bool,
+    up: bool,
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick(usize, u64),
+    Input(usize, u64, Box<Input>),
+    State(usize, u64, Slot, u64, Box<StateCall>),
+    Cloud(usize, u64, u64, u64, Box<CloudCall>),
+    Command { node: usize, epoch: u64, token: u64, machine: u64, id: u64, body: Box<Commands> },
+    CommandTimeout { node: usize, epoch: u64, token: u64, machine: u64, id: u64 },
+    Report(u64, u64, Box<Report>),
+    WorkerTick(u64),
+    WorkerAnswer { machine: u64, number: u64, session: u64, sent: u64, answer: Box<Answer> },
+    Fetched(u64, u64, u64),
+    Ran(u64, u64, u64),
+    Boot(u64),
+    Poll(String),
+    User(String, UserCall),
+}
+
+#[derive(Debug, Clone)]
+enum Asker {
+    Worker { machine: u64, number: u64, session: u64, sent: u64 },
+    User { job: String, call: UserCall },
+}
+
+/// A job as its user knows it.
+pub struct UserJob {
+    spec: Value,
+    pub told: String,
+    pub accepted: bool,
+    cancelled_at: Option<u64>,
+    withdrawing: bool,
+    pub withdraw_status: u16,
+    pub submit_status: u16,
+}
+
+pub struct Sim {
+    pub now: u64,
+    seq: u64,
+    queue: BTreeMap<(u64, u64), Event>,
+    pub nodes: Vec<Option<Controller>>,
+    epochs: Vec<u64>,
+    pub state: State,
+    pub workers: BTreeMap<u64, Worker>,
+    machines: u64,
+    hires: HashMap<String, Vec<u64>>,
+    pub capacity: BTreeMap<(String, bool), u32>,
+    pub jobs: BTreeMap<String, UserJob>,
+    askers: HashMap<u64, Asker>,
+    requests: u64,
+    answered_commands: BTreeSet<(usize, u64, u64)>,
+    held: BTreeMap<u64, Vec<Event>>,
+    pub starts: BTreeMap<String, Vec<u64>>,
+    finished: BTreeSet<String>,
+    pub hold_commands: BTreeSet<u64>,
+    pub broken: Vec<String>,
+    random: u64,
+}
+
+impl Sim {
+    pub fn new(seed: u64) -> Sim {
+        let mut sim = Sim {
+            now: 1000,
+            seq: 0,
+            queue: BTreeMap::new(),
+            nodes: vec![None, None, None],
+            epochs: vec![0; 3],
+            state: State::default(),
+            workers: BTreeMap::new(),
+            machines: 0,
+            hires: HashMap::new(),
+            capacity: [("a", 8), ("b", 8)]
+                .iter()
+                .flat_map(|(z, n)| [((z.to_string(), false), *n), ((z.to_string(), true), *n)])
+                .collect(),
+            jobs: BTreeMap::new(),
+            askers: HashMap::new(),
+            requests: 0,
+            answered_commands: BTreeSet::new(),
+            held: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            finished: BTreeSet::new(),
+            hold_commands: BTreeSet::new(),
+            broken: Vec::new(),
+            random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+        };
+        for node in 0..3 {
+            sim.start(node);
+        }
+        sim
+    }
+
+    fn chance(&mut self, below: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % below
+    }
+
+    fn after(&mut self, delay: u64, event: Event) {
+        self.seq += 1;
+        self.queue.insert((self.now + delay, self.seq), event);
+    }
+
+    // ---- nodes ----
+
+    pub fn start(&mut self, node: usize) {
+        if self.nodes[node].is_some() {
+            return;
+        }
+        self.epochs[node] += 1;
+        let incarnation = self.epochs[node] * 10 + node as u64 + self.chance(1000) * 100;
+        self.nodes[node] = Some(Controller::new(settings(node), incarnation));
+        let epoch = self.epochs[node];
+        self.after(1 + node as u64 * 7, Event::Tick(node, epoch));
+        for other in (0..3).filter(|o| *o != node) {
+            if self.nodes[other].is_some() {
+                self.input(node, Input::Link(NODES[other].into(), true), 30);
+                self.input(other, Input::Link(NODES[node].into(), true), 30);
+            }
+        }
+    }
+
+    pub fn crash(&mut self, node: usize) {
+        if self.nodes[node].take().is_none() {
+            return;
+        }
+        for other in (0..3).filter(|o| *o != node) {
+            self.input(other, Input::Link(NODES[node].into(), false), 5);
+        }
+        // Whoever waits for it sees the connection break.
+        let waiting: Vec<(u64, Asker)> = self.askers.iter().map(|(id, a)| (*id, a.clone())).collect();
+        for (id, asker) in waiting {
+            if id % 3 == node as u64 {
+                self.askers.remove(&id);
+                self.failed(asker);
+            }
+        }
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let token = |n: &usize| self.nodes[*n].as_ref().and_then(|c| c.reign()).map(|r| r.token());
+        (0..3).filter(|n| token(n).is_some()).max_by_key(token)
+    }
+
+    fn input(&mut self, node: usize, input: Input, delay: u64) {
+        let epoch = self.epochs[node];
+        self.after(delay, Event::Input(node, epoch, Box::new(input)));
+    }
+
+    fn feed(&mut self, node: usize, input: Input) {
+        let now = Time(self.now + 10_000);
+        let wall = Wall(1_700_000_000_000 + self.now);
+        let Some(controller) = &mut self.nodes[node] else { return };
+        let effects = controller.handle(now, wall, input);
+        let epoch = self.epochs[node];
+        for effect in effects {
+            let delay = 1 + self.chance(4);
+            match effect {
+                Effect::Answer(Origin::Http(id), answer) => {
+                    if let Some(asker) = self.askers.remove(&id) {
+                        self.answered(asker, answer, delay);
+                    }
+                }
+                Effect::Answer(Origin::Peer(link, id), answer) => {
+                    let (to, its_epoch) = ((link % 3) as usize, link / 3);
+                    self.after(delay, Event::Input(to, its_epoch, Box::new(Input::Forwarded(id, answer))));
+                }
+                Effect::State(slot, id, call) => self.after(delay, Event::State(node, epoch, slot, id, Box::new(call))),
+                Effect::Cloud(token, id, call) => {
+                    self.after(50 + delay, Event::Cloud(node, epoch, token, id, Box::new(call)));
+                }
+                Effect::Command { token, machine, id, body, .. } => {
+                    let machine = machine.0;
+                    self.after(delay, Event::Command { node, epoch, token, machine, id, body: Box::new(body) });
+                    self.after(2500, Event::CommandTimeout { node, epoch, token, machine, id });
+                }
+                Effect::Forward(to, id, call) => {
+                    let target = NODES.iter().position(|n| *n == to).expect("a known node");
+                    let link = epoch * 3 + node as u64;
+                    self.input(target, Input::User(Origin::Peer(link, id), call), delay);
+                }
+            }
+        }
+    }
+
+    // ---- users ----
+
+    /// Submits a job; `change` sets fields of a two-task batch job.
+    pub fn submit(&mut self, id: &str, change: &[(&str, Value)]) {
+        let mut spec = json!({"Ref": id, "Lane": "render", "Crew": "crew", "Shape": "batch", "Rank": "standard", "Pieces": 2,
+            "Cores": 2.0, "Cards": 0.0, "MemoryGb": 4.0, "Reel": "img-1", "ImageGb": 1.0, "Together": false,
+            "Spread": false, "Loaners": false, "RuntimeS": 10.0, "BookmarkS": 0.0, "StashS": 0.0});
+        for (name, value) in change {
+            spec[*name] = value.clone();
+        }
+        let job = UserJob {
+            spec: spec.clone(),
+            told: String::new(),
+            accepted: false,
+            cancelled_at: None,
+            withdrawing: false,
+            withdraw_status: 0,
+            submit_status: 0,
+        };
+        self.jobs.insert(id.to_string(), job);
+        self.after(0, Event::User(id.to_string(), UserCall::Submit(spec.to_string().into_bytes())));
+        self.after(1000, Event::Poll(id.to_string()));
+    }
+
+    pub fn cancel(&mut self, id: &str) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.withdrawing = true;
+        }
+        self.after(0, Event::User(id.to_string(), UserCall::Withdraw(id.to_string())));
+    }
+
+    fn ask(&mut self, job: String, call: UserCall) {
+        let up: Vec<usize> = (0..3).filter(|n| self.nodes[*n].is_some()).collect();
+        if up.is_empty() {
+            return self.after(1000, Event::User(job, call));
+        }
+        let node = up[self.chance(up.len() as u64) as usize];
+        self.requests += 1;
+        let id = self.requests * 3 + node as u64;
+        self.askers.insert(id, Asker::User { job, call: call.clone() });
+        self.input(node, Input::User(Origin::Http(id), call), 2);
+    }
+
+    fn failed(&mut self, asker: Asker) {
+        match asker {
+            Asker::User { job, call: UserCall::Get(_) } => {
+                let _ = job;
+            }
+            Asker::User { job, call } => self.after(1000, Event::User(job, call)),
+            Asker::Worker { machine, number, .. } => self.worker_failed(machine, number),
+        }
+    }
+
+    fn answered(&mut self, asker: Asker, answer: Answer, delay: u64) {
+        match asker {
+            Asker::Worker { machine, number, session, sent } => {
+                let answer = Box::new(answer);
+                self.after(delay, Event::WorkerAnswer { machine, number, session, sent, answer });
+            }
+            Asker::User { job, call } => self.user_told(&job, call, &answer),
+        }
+    }
+
+    fn user_told(&mut self, id: &str, call: UserCall, answer: &Answer) {
+        let now = self.now;
+        let finished = self.all_finished(id);
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        match call {
+            UserCall::Submit(_) => job.submit_status = answer.status,
+            UserCall::Withdraw(_) => job.withdraw_status = answer.status,
+            UserCall::Get(_) => {}
+        }
+        if matches!(answer.status, 503 | 429) {
+            if !matches!(call, UserCall::Get(_)) {
+                self.after(1000, Event::User(id.to_string(), call));
+            }
+            return;
+        }
+        if answer.status == 404 {
+            if job.accepted {
+                self.broken.push(format!("{now} forgotten: {id}"));
+            } else {
+                job.told = "404".into();
+            }
+            return;
+        }
+        if !matches!(answer.status, 200 | 201) {
+            job.told = answer.status.to_string();
+            return;
+        }
+        job.accepted = true;
+        let body: Value = serde_json::from_str(&answer.body).expect("an answer is JSON");
+        let status = body["Status"].as_str().expect("a status").to_string();
+        let over = matches!(job.told.as_str(), "done" | "aborted");
+        if over && status != job.told {
+            self.broken.push(format!("{now} went_back: {id} {} then {status}", job.told));
+        }
+        if status == "aborted" {
+            if !job.withdrawing {
+                self.broken.push(format!("{now} went_back: {id} was never cancelled"));
+            }
+            job.cancelled_at.get_or_insert(now);
+        }
+        if status == "done" && !finished {
+            self.broken.push(format!("{now} not_done: {id}"));
+        }
+        job.told = status;
+    }
+
+    fn all_finished(&self, id: &str) -> bool {
+        let tasks = self.jobs.get(id).map_or(0, |j| j.spec["Pieces"].as_u64().unwrap_or(0));
+        (0..tasks).all(|i| self.finished.contains(&format!("{id}/{i}")))
+    }
+
+    // ---- cloud ----
+
+    fn cloud(&mut self, call: &CloudCall) -> (u16, Value) {
+        match call {
+            CloudCall::Flavors => (
+                200,
+                json!({"Builds": [{"Label": "small", "Cores": 4, "MemoryGb": 16.0, "LocalGb": 70.0, "FetchGbPerS": 1.0,
+                    "Hourly": 0.26, "MarketPrice": 0.1, "BootS": 5, "Yards": ["a", "b"]}]}),
+            ),
+            CloudCall::Rent(request) => {
+                if let Some(ids) = self.hires.get(&request.request) {
+                    return (200, json!({"Hosts": ids.iter().map(|i| MachineId(*i).to_string()).collect::<Vec<_>>()}));
+                }
+                let room = self.capacity.entry((request.zone.clone(), request.spot)).or_insert(0);
+                let count = request.count.min(*room);
+                if count == 0 {
+                    return (503, json!({"error": "no capacity"}));
+                }
+                *room -= count;
+                let mut ids = Vec::new();
+                for _ in 0..count {
+                    self.machines += 1;
+                    let id = self.machines;
+                    ids.push(id);
+                    self.workers.insert(
+                        id,
+                        Worker {
+                            zone: request.zone.clone(),
+                            spot: request.spot,
+                            session: 1,
+                            seq: 0,
+                            token: 0,
+                            tasks: BTreeMap::new(),
+                            images: BTreeSet::new(),
+                            done: BTreeSet::new(),
+                            node: 0,
+                            waiting: None,
+                            last_sent: 0,
+                            renewed: 0,
+                            notice_until: None,
+                            sick: false,
+                            cut: false,
+                            alive: true,
+                            up: false,
+                        },
+                    );
+                    self.after(BOOT_MS, Event::Boot(id));
+                }
+                self.hires.insert(request.request.clone(), ids.clone());
+                (200, json!({"Hosts": ids.iter().map(|i| MachineId(*i).to_string()).collect::<Vec<_>>()}))
+            }
+            CloudCall::Return(ids) => {
+                for id in ids {
+                    if let Some(w) = self.workers.remove(&id.0) {
+                        *self.capacity.entry((w.zone, w.spot)).or_insert(0) += 1;
+                    }
+                    self.held.remove(&id.0);
+                }
+                (200, json!({}))
+            }
+            CloudCall::List(_) => {
+                let hosts: Vec<Value> = self
+                    .workers
+                    .iter()
+                    .map(|(id, w)| {
+                        json!({"Ref": MachineId(*id).to_string(), "Endpoint": "10.0.0.1:1", "Build": "small", "Yard": w.zone,
+                            "Loaners": w.spot, "Status": if w.up { "running" } else { "starting" }, "AgeS": 1.0})
+                    })
+                    .collect();
+                (200, json!({"Hosts": hosts, "More": false}))
+            }
+        }
+    }
+
+    // ---- workers ----
+
+    pub fn die(&mut self, machine: u64) {
+        if let Some(w) = self.workers.get_mut(&machine) {
+            w.alive = false;
+            w.tasks.clear();
+        }
+    }
+
+    pub fn cut(&mut self, machine: u64) {
+        if let Some(w) = self.workers.get_mut(&machine) {
+            w.cut = true;
+        }
+    }
+
+    /// Ends a cut: what was held back is delivered, in order.
+    pub fn heal(&mut self, machine: u64) {
+        if let Some(w) = self.workers.get_mut(&machine) {
+            w.cut = false;
+        }
+        for event in self.held.remove(&machine).unwrap_or_default() {
+            self.after(1, event);
+        }
+    }
+
+    pub fn notice(&mut self, machine: u64, seconds: u64) {
+        let until = self.now + seconds * 1000;
+        if let Some(w) = self.workers.get_mut(&machine) {
+            w.notice_until = Some(until);
+        }
+        self.report_soon(machine);
+    }
+
+    fn make_report(&mut self, machine: u64) -> Report {
+        let now = self.now;
+        let w = self.workers.get_mut(&machine).expect("a worker");
+        w.seq += 1;
+        let tasks = w.tasks.iter().map(|(attempt, t)| ReportedTask {
+            task: t.task.clone(),
+            attempt: *attempt,
+            state: t.state,
+            cause: t.cause.map(|c| serde_json::from_value(json!(c)).expect("a cause")),
+            saved: Some(t.saved),
+        });
+        Report {
+            machine: MachineId(machine).to_string(),
+            endpoint: "10.0.0.1:1".into(),
+            kind: "small".into(),
+            zone: w.zone.clone(),
+            spot: w.spot,
+            session: w.session,
+            seq: w.seq,
+            token: w.token,
+            notice_s: w.notice_until.map(|u| u.saturating_sub(now) as f64 / 1000.0),
+            tasks: Some(tasks.collect()),
+        }
+    }
+
+    fn worker_failed(&mut self, machine: u64, number: u64) {
+        if let Some(w) = self.workers.get_mut(&machine)
+            && w.waiting == Some(number)
+        {
+            w.waiting = None;
+            w.node = (w.node + 1) % 3;
+            self.after(1000, Event::WorkerTick(machine));
+        }
+    }
+
+    fn report_soon(&mut self, machine: u64) {
+        let wait = self.workers.get(&machine).map_or(0, |w| (w.last_sent + 500).saturating_sub(self.now));
+        self.after(wait, Event::WorkerTick(machine));
+    }
+
+    fn send_report(&mut self, machine: u64) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(&machine) else { return };
+        if !w.alive || !w.up {
+            return;
+        }
+        if now >= w.renewed + LEASE_MS {
+            // The lease is over: every task is killed and forgotten.
+            w.tasks.clear();
+            w.session += 1;
+            w.seq = 0;
+            w.renewed = now;
+            w.waiting = None;
+        }
+        if w.waiting.is_some() || now < w.last_sent + 500 {
+            return;
+        }
+        let node = w.node;
+        w.last_sent = now;
+        let session = w.session;
+        let report = Box::new(self.make_report(machine));
+        self.requests += 1;
+        let number = self.requests * 3 + node as u64;
+        if let Some(w) = self.workers.get_mut(&machine) {
+            w.waiting = Some(number);
+        }
+        self.askers.insert(number, Asker::Worker { machine, number, session, sent: now });
+        self.after(2, Event::Report(machine, number, report));
+        self.after(4000, Event::WorkerTick(machine));
+    }
+
+    fn execute(&mut self, machine: u64, orders: &[Order]) {
+        for order in orders {
+            let w = self.workers.get_mut(&machine).expect("a worker");
+            match order {
+                Order::Run { task, attempt } => {
+                    if w.tasks.contains_key(attempt) {
+                        continue;
+                    }
+                    let id = task.split('/').next().unwrap_or_default();
+                    let Some(job) = self.jobs.get(id) else { continue };
+                    let image = job.spec["Reel"].as_str().unwrap_or_default().to_string();
+                    let need = job.spec["Cores"].as_f64().unwrap_or(0.0);
+                    let jobs = &self.jobs;
+                    let cores = |t: &OnWorker| jobs[t.task.split('/').next().unwrap()].spec["Cores"].as_f64().unwrap();
+                    let used: f64 = w.tasks.values().filter(|t| t.state != TaskState::Exited).map(cores).sum();
+                    let refusal = if w.tasks.values().any(|t| t.task == *task) {
+                        Some("in_use")
+                    } else if used + need > 4.0 {
+                        Some("full")
+                    } else {
+                        None
+                    };
+                    let state = if refusal.is_some() { TaskState::Exited } else { TaskState::Fetching };
+                    let cached = w.images.contains(&image);
+                    w.tasks.insert(*attempt, OnWorker { task: task.clone(), state, cause: refusal, saved: false });
+                    let session = w.session;
+                    if refusal.is_none() {
+                        if cached {
+                            self.begin(machine, session, *attempt);
+                        } else {
+                            self.after(1000, Event::Fetched(machine, session, *attempt));
+                        }
+                    }
+                }
+                Order::Kill { attempt, .. } => {
+                    if let Some(t) = w.tasks.get_mut(attempt)
+                        && t.state != TaskState::Exited
+                    {
+                        t.state = TaskState::Exited;
+                        t.cause = Some("halted");
+                    }
+                }
+                Order::Reap { attempt, .. } => {
+                    if w.tasks.get(attempt).is_some_and(|t| t.state == TaskState::Exited) {
+                        w.tasks.remove(attempt);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A task holds its image and starts: the rules are checked.
+    fn begin(&mut self, machine: u64, session: u64, attempt: u64) {
+        let Some(w) = self.workers.get(&machine) else { return };
+        if w.session != session || !w.alive {
+            return;
+        }
+        let Some(t) = w.tasks.get(&attempt).filter(|t| t.state == TaskState::Fetching) else { return };
+        let task = t.task.clone();
+        let (zone, spot, sick, was_done) = (w.zone.clone(), w.spot, w.sick, w.done.contains(&task));
+        let id = task.split('/').next().unwrap_or_default().to_string();
+        let running = |t: &&OnWorker| matches!(t.state, TaskState::Running | TaskState::Flushing);
+        let now = self.now;
+        let mut broken = Vec::new();
+        let (mut in_zone, mut team_cores) = (0, 0.0);
+        let job = &self.jobs[&id];
+        for (other, w) in &self.workers {
+            for t in w.tasks.values().filter(running) {
+                if t.task == task && *other != machine {
+                    broken.push(format!("{now} ran_twice: {task} on {machine} and {other}"));
+                }
+                let its = &self.jobs[t.task.split('/').next().unwrap()];
+                if its.spec["Ref"] == job.spec["Ref"] && w.zone == zone {
+                    in_zone += 1;
+                }
+                if its.spec["Crew"] == "small" {
+                    team_cores += its.spec["Cores"].as_f64().unwrap();
+                }
+            }
+        }
+        let pieces = job.spec["Pieces"].as_u64().unwrap();
+        if job.spec["Spread"] == true && in_zone + 1 > pieces.div_ceil(2) {
+            broken.push(format!("{now} wrong_place: {task} is one too many in zone {zone}"));
+        }
+        if spot && job.spec["Loaners"] == false {
+            broken.push(format!("{now} wrong_place: {task} on a spot machine"));
+        }
+        if job.spec["Crew"] == "small" && team_cores + job.spec["Cores"].as_f64().unwrap() > 4.0 {
+            broken.push(format!("{now} quota: {task}"));
+        }
+        let image = job.spec["Reel"].as_str().unwrap_or_default().to_string();
+        let run = (job.spec["RuntimeS"].as_f64().unwrap_or(0.0) * 1000.0) as u64;
+        let service = job.spec["Shape"] == "standing";
+        self.broken.extend(broken);
+        self.starts.entry(task).or_default().push(machine);
+        if let Some(w) = self.workers.get_mut(&machine) {
+            w.images.insert(image);
+            if let Some(t) = w.tasks.get_mut(&attempt) {
+                t.state = TaskState::Running;
+            }
+        }
+        if sick {
+            self.after(200, Event::Ran(machine, session, attempt));
+        } else if !service {
+            self.after(if was_done { 1 } else { run }, Event::Ran(machine, session, attempt));
+        }
+        self.report_soon(machine);
+    }
+
+    // ---- the loop ----
+
+    pub fn run_until(&mut self, until: u64) {
+        while let Some((&(at, seq), _)) = self.queue.first_key_value() {
+            if at > until {
+                break;
+            }
+            let event = self.queue.remove(&(at, seq)).expect("it is there");
+            self.now = at;
+            self.step(event);
+            self.check_cancelled();
+        }
+        self.now = until;
+    }
+
+    fn check_cancelled(&mut self) {
+        let now = self.now;
+        for w in self.workers.values() {
+            for t in w.tasks.values().filter(|t| matches!(t.state, TaskState::Running | TaskState::Flushing)) {
+                let job = &self.jobs[t.task.split('/').next().unwrap()];
+                if job.cancelled_at.is_some_and(|at| now > at + CANCEL_MS) {
+                    self.broken.push(format!("{now} ran_cancelled: {}", t.task));
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Tick(node, epoch) => {
+                if self.epochs[node] == epoch && self.nodes[node].is_some() {
+                    self.feed(node, Input::Tick);
+                    self.after(50, Event::Tick(node, epoch));
+                }
+            }
+            Event::Input(node, epoch, input) => {
+                if self.epochs[node] == epoch {
+                    self.feed(node, *input);
+                }
+            }
+            Event::State(node, epoch, slot, id, call) => {
+                let (status, body) = self.state.handle(self.now, node, &call);
+                let reply = if self.state.mute > 0 && status != 503 {
+                    self.state.mute -= 1;
+                    Reply::none()
+                } else {
+                    Reply { status, body: body.to_string().into() }
+                };
+                let delay = if reply.status == 0 { 950 } else { 1 + self.chance(4) };
+                self.after(delay, Event::Input(node, epoch, Box::new(Input::State(slot, id, reply))));
+            }
+            Event::Cloud(node, epoch, token, id, call) => {
+                let (status, body) = self.cloud(&call);
+                let reply = Reply { status, body: body.to_string().into() };
+                self.after(50, Event::Input(node, epoch, Box::new(Input::Cloud(token, id, reply))));
+            }
+            Event::Command { node, epoch, token, machine, id, body } => {
+                let Some(w) = self.workers.get_mut(&machine) else { return };
+                if w.cut || self.hold_commands.contains(&machine) {
+                    let event = Event::Command { node, epoch, token, machine, id, body };
+                    return self.held.entry(machine).or_default().push(event);
+                }
+                if !w.alive || !w.up {
+                    return;
+                }
+                let mut status = 409;
+                if body.token >= w.token {
+                    w.token = body.token;
+                    if body.session == w.session {
+                        status = 200;
+                        self.execute(machine, &body.orders);
+                    }
+                }
+                self.report_soon(machine);
+                let report = self.make_report(machine);
+                if self.answered_commands.insert((node, epoch, id)) {
+                    let reply = Reply { status, body: serde_json::to_vec(&report).expect("JSON").into() };
+                    let input = Input::Command(token, MachineId(machine), id, reply);
+                    self.after(2, Event::Input(node, epoch, Box::new(input)));
+                }
+            }
+            Event::CommandTimeout { node, epoch, token, machine, id } => {
+                if self.answered_commands.insert((node, epoch, id)) {
+                    let input = Input::Command(token, MachineId(machine), id, Reply::none());
+                    self.after(0, Event::Input(node, epoch, Box::new(input)));
+                }
+            }
+            Event::Report(machine, number, report) => {
+                if self.workers.get(&machine).is_some_and(|w| w.cut) {
+                    return self.held.entry(machine).or_default().push(Event::Report(machine, number, report));
+                }
+                let node = (number % 3) as usize;
+                if self.nodes[node].is_none() {
+                    self.askers.remove(&number);
+                    return self.worker_failed(machine, number);
+                }
+                self.feed(node, Input::Report(Origin::Http(number), report));
+            }
+            Event::WorkerTick(machine) => {
+                if let Some(w) = self.workers.get(&machine)
+                    && let Some(number) = w.waiting
+                    && self.now >= w.last_sent + 4000
+                {
+                    self.askers.remove(&number);
+                    self.worker_failed(machine, number);
+                }
+                self.send_report(machine);
+            }
+            Event::WorkerAnswer { machine, number, session, sent, answer } => {
+                let Some(w) = self.workers.get_mut(&machine) else { return };
+                if w.waiting != Some(number) || w.cut {
+                    return;
+                }
+                w.waiting = None;
+                if answer.status == 421 {
+                    let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+                    let named = body["Steward"].as_str().and_then(|s| NODES.iter().position(|n| *n == s));
+                    let same = named.is_none() || named == Some(w.node);
+                    w.node = named.filter(|_| !same).unwrap_or((w.node + 1) % 3);
+                    return self.after(if same { 1000 } else { 500 }, Event::WorkerTick(machine));
+                }
+                if answer.status != 200 {
+                    w.node = (w.node + 1) % 3;
+                    return self.after(1000, Event::WorkerTick(machine));
+                }
+                let wait = REPORT_MS - 300 + self.chance(600);
+                self.after(wait, Event::WorkerTick(machine));
+                let answer: ReportAnswer = serde_json::from_str(&answer.body).expect("an answer to a report");
+                let w = self.workers.get_mut(&machine).expect("a worker");
+                if session != w.session || answer.token < w.token || self.now >= w.renewed + LEASE_MS {
+                    return;
+                }
+                let news = answer.token > w.token || !answer.orders.is_empty();
+                w.token = answer.token;
+                w.renewed = sent;
+                self.execute(machine, &answer.orders);
+                if news {
+                    self.report_soon(machine);
+                }
+            }
+            Event::Fetched(machine, session, attempt) => self.begin(machine, session, attempt),
+            Event::Ran(machine, session, attempt) => {
+                let Some(w) = self.workers.get_mut(&machine) else { return };
+                if w.session != session || !w.alive {
+                    return;
+                }
+                let Some(t) = w.tasks.get_mut(&attempt).filter(|t| t.state == TaskState::Running) else { return };
+                t.state = TaskState::Exited;
+                t.cause = Some(if w.sick { "error" } else { "done" });
+                if !w.sick {
+                    self.finished.insert(t.task.clone());
+                    w.done.insert(t.task.clone());
+                }
+                self.report_soon(machine);
+            }
+            Event::Boot(machine) => {
+                let now = self.now;
+                if let Some(w) = self.workers.get_mut(&machine) {
+                    w.up = true;
+                    w.renewed = now;
+                }
+                self.send_report(machine);
+            }
+            Event::Poll(id) => {
+                self.after(1000, Event::Poll(id.clone()));
+                if self.jobs[&id].accepted {
+                    self.ask(id.clone(), UserCall::Get(id));
+                }
+            }
+            Event::User(id, call) => self.ask(id, call),
+        }
+    }
+
+    /// How many tasks of a job are running.
+    pub fn running(&self, id: &str) -> usize {
+        let prefix = format!("{id}/");
+        let tasks = self.workers.values().flat_map(|w| w.tasks.values());
+        tasks.filter(|t| t.state == TaskState::Running && t.task.starts_with(&prefix)).count()
+    }
+
+    /// The machine that runs a task.
+    pub fn machine_of(&self, task: &str) -> Option<u64> {
+        let runs = |w: &Worker| w.tasks.values().any(|t| t.task == task && t.state == TaskState::Running);
+        self.workers.iter().find(|(_, w)| runs(w)).map(|(id, _)| *id)
+    }
+}
--- /dev/null
+++ b/tests/traces.rs
@@ -0,0 +1,162 @@
+//! Kept traces: each file in `tests/traces` is a story of timed inputs and what must come of them,
+//! played in simulated time against real controllers. The rules are checked at every step.
+//!
+//! A line is `TIME VERB ARGUMENTS`, in seconds, `#` begins a comment. `MACHINE` is a name or
+//! `of:TASK`, the machine that runs the task at that moment.
+
+mod support;
+
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use support::{NODES, Sim};
+
+fn node(name: &str) -> usize {
+    NODES.iter().position(|n| *n == name).unwrap_or_else(|| panic!("no node {name}"))
+}
+
+fn play(name: &str) {
+    let path = format!("{}/tests/traces/{name}.trace", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(&path).expect("a trace");
+    let mut sim = Sim::new(7);
+    let mut names: HashMap<String, u64> = HashMap::new();
+    let (mut steps, mut expectations) = (0, 0);
+    for (number, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        if line.is_empty() {
+            continue;
+        }
+        let at = format!("{name}.trace:{}", number + 1);
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let time: f64 = words[0].parse().unwrap_or_else(|_| panic!("{at}: no time"));
+        sim.run_until(1000 + (time * 1000.0) as u64);
+        assert!(sim.broken.is_empty(), "{at}: {:?}", sim.broken);
+        let machine = |sim: &Sim, names: &mut HashMap<String, u64>, word: &str| -> u64 {
+            if let Some(task) = word.strip_prefix("of:") {
+                let id = sim.machine_of(task).unwrap_or_else(|| panic!("{at}: {task} runs nowhere"));
+                names.insert("it".into(), id);
+                return id;
+            }
+            names.get(word).copied().unwrap_or_else(|| panic!("{at}: no machine {word}"))
+        };
+        steps += 1;
+        match (words[1], &words[2..]) {
+            ("submit", [id, fields @ ..]) => {
+                let change: Vec<(&str, Value)> = fields
+                    .iter()
+                    .map(|f| {
+                        let (name, value) = f.split_once('=').expect("name=value");
+                        (name, serde_json::from_str(value).unwrap_or_else(|_| json!(value)))
+                    })
+                    .collect();
+                sim.submit(id, &change);
+            }
+            ("cancel", [id]) => sim.cancel(id),
+            ("crash", ["leader"]) => {
+                let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
+                sim.crash(leader);
+                names.insert("crashed".into(), leader as u64);
+            }
+            ("crash", ["all"]) => (0..3).for_each(|n| sim.crash(n)),
+            ("crash", [n]) => sim.crash(node(n)),
+            ("start", ["all"]) => (0..3).for_each(|n| sim.start(n)),
+            ("start", ["crashed"]) => sim.start(names["crashed"] as usize),
+            ("start", [n]) => sim.start(node(n)),
+            ("state", ["down"]) => sim.state.down = true,
+            ("state", ["up"]) => sim.state.down = false,
+            ("state", ["deaf", "leader"]) => {
+                let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
+                sim.state.deaf.insert(leader);
+            }
+            ("state", ["hears", "all"]) => sim.state.deaf.clear(),
+            ("state", ["loses", n]) => sim.state.mute = n.parse().expect("a count"),
+            ("state", ["writes", n]) => sim.state.writes_left = n.parse().ok(),
+            ("cut", [m]) => {
+                let m = machine(&sim, &mut names, m);
+                sim.cut(m);
+            }
+            ("heal", [m]) => {
+                let m = machine(&sim, &mut names, m);
+                sim.hold_commands.remove(&m);
+                sim.heal(m);
+            }
+            ("hold-commands", [m]) => {
+                let m = machine(&sim, &mut names, m);
+                sim.hold_commands.insert(m);
+            }
+            ("die", [m]) => {
+                let m = machine(&sim, &mut names, m);
+                sim.die(m);
+            }
+            ("sick", [m]) => {
+                let m = machine(&sim, &mut names, m);
+                if let Some(w) = sim.workers.get_mut(&m) {
+                    w.sick = true;
+                }
+            }
+            ("sick-all", []) => sim.workers.values_mut().for_each(|w| w.sick = true),
+            ("notice", [m, seconds]) => {
+                let m = machine(&sim, &mut names, m);
+                sim.notice(m, seconds.parse().expect("seconds"));
+            }
+            ("capacity", [zone, count]) => {
+                sim.capacity.insert((zone.to_string(), false), count.parse().expect("a count"));
+            }
+            ("expect", rest) => {
+                expectations += 1;
+                expect(&sim, &names, &at, rest);
+            }
+            _ => panic!("{at}: unknown `{line}`"),
+        }
+    }
+    assert!(steps > 3 && expectations > 1, "{name} says too little");
+}
+
+fn expect(sim: &Sim, names: &HashMap<String, u64>, at: &str, words: &[&str]) {
+    match words {
+        ["leader"] => assert!(sim.leader().is_some(), "{at}: nobody leads"),
+        ["no", "leader"] => assert!(sim.leader().is_none(), "{at}: somebody leads"),
+        ["other", "leader"] => {
+            let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
+            assert_ne!(leader as u64, names["crashed"], "{at}");
+        }
+        ["leaders", n] => {
+            let leaders = sim.nodes.iter().flatten().filter(|c| c.reign().is_some()).count();
+            assert_eq!(leaders.to_string(), **n, "{at}");
+        }
+        ["told", id, status] => assert_eq!(sim.jobs[*id].told, *status, "{at}"),
+        ["running", id, n] => assert_eq!(sim.running(id).to_string(), **n, "{at}"),
+        ["submit", id, status] => assert_eq!(sim.jobs[*id].submit_status.to_string(), **status, "{at}"),
+        ["withdraw", id, status] => assert_eq!(sim.jobs[*id].withdraw_status.to_string(), **status, "{at}"),
+        ["starts", task, n] => assert_eq!(sim.starts.get(*task).map_or(0, Vec::len).to_string(), **n, "{at}"),
+        ["machines", n] => assert_eq!(sim.workers.len().to_string(), **n, "{at}"),
+        ["gone", m] => assert!(!sim.workers.contains_key(&names[*m]), "{at}: {m} is still rented"),
+        ["kept", m] => assert!(sim.workers.contains_key(&names[*m]), "{at}: {m} was returned"),
+        ["moved", task] => assert_ne!(sim.machine_of(task), names.get("it").copied(), "{at}"),
+        ["keys", prefix, "below", n] => {
+            let keys = sim.state.keys.keys().filter(|k| k.starts_with(*prefix)).count();
+            assert!(keys < n.parse().expect("a count"), "{at}: {keys} keys");
+        }
+        _ => panic!("{at}: unknown expectation {words:?}"),
+    }
+}
+
+macro_rules! traces {
+    ($($name:ident),* $(,)?) => {
+        $(#[test] fn $name() { play(stringify!($name)); })*
+
+        #[test]
+        fn every_trace_is_played() {
+            let listed = [$(stringify!($name)),*];
+            let dir = format!("{}/tests/traces", env!("CARGO_MANIFEST_DIR"));
+            for entry in std::fs::read_dir(dir).expect("the traces") {
+                let name = entry.expect("an entry").file_name().into_string().expect("a name");
+                let name = name.strip_suffix(".trace").expect("a trace");
+                assert!(listed.contains(&name), "{name} is not played");
+            }
+        }
+    };
+}
+
+traces! {
+    quiet_day,
+}
