--- /dev/null
+++ b/tests/properties.rs
@@ -0,0 +1,150 @@
+//! Random faults in random order: whatever happens, no rule is broken, and when the faults are over
+//! every job comes to its end.
+
+mod support;
+
+use proptest::prelude::*;
+use serde_json::json;
+use support::Sim;
+
+#[derive(Debug, Clone)]
+enum Fault {
+    Crash(usize),
+    CrashAll,
+    Start(usize),
+    StateDown(bool),
+    Deaf(usize, bool),
+    LoseAnswers(u32),
+    Cut(u64),
+    Heal(u64),
+    HoldCommands(u64),
+    Die(u64),
+    Sick(u64),
+    Notice(u64),
+    Submit(u8),
+    Cancel(u8),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let (node, machine) = (0usize..3, 0u64..6);
+    prop_oneof![
+        2 => node.clone().prop_map(Fault::Crash),
+        1 => Just(Fault::CrashAll),
+        4 => node.clone().prop_map(Fault::Start),
+        1 => any::<bool>().prop_map(Fault::StateDown),
+        1 => (node, any::<bool>()).prop_map(|(n, d)| Fault::Deaf(n, d)),
+        1 => (1u32..4).prop_map(Fault::LoseAnswers),
+        2 => machine.clone().prop_map(Fault::Cut),
+        3 => machine.clone().prop_map(Fault::Heal),
+        2 => machine.clone().prop_map(Fault::HoldCommands),
+        1 => machine.clone().prop_map(Fault::Die),
+        1 => machine.clone().prop_map(Fault::Sick),
+        1 => machine.prop_map(Fault::Notice),
+        5 => any::<u8>().prop_map(Fault::Submit),
+        2 => any::<u8>().prop_map(Fault::Cancel),
+    ]
+}
+
+/// The n-th machine that is rented at this moment.
+fn nth(sim: &Sim, n: u64) -> Option<u64> {
+    sim.workers.keys().nth(n as usize % sim.workers.len().max(1)).copied()
+}
+
+fn inject(sim: &mut Sim, fault: &Fault) {
+    let name = |n: u8| format!("job-{:06}", n % 12);
+    match fault {
+        Fault::Crash(n) => sim.crash(*n),
+        Fault::CrashAll => (0..3).for_each(|n| sim.crash(n)),
+        Fault::Start(n) => sim.start(*n),
+        Fault::StateDown(down) => sim.state.down = *down,
+        Fault::Deaf(n, true) => {
+            sim.state.deaf.insert(*n);
+        }
+        Fault::Deaf(n, false) => {
+            sim.state.deaf.remove(n);
+        }
+        Fault::LoseAnswers(n) => sim.state.mute = *n,
+        Fault::Cut(n) => nth(sim, *n).into_iter().for_each(|m| sim.cut(m)),
+        Fault::Heal(n) => {
+            if let Some(m) = nth(sim, *n) {
+                sim.hold_commands.remove(&m);
+                sim.heal(m);
+            }
+        }
+        Fault::HoldCommands(n) => sim.hold_commands.extend(nth(sim, *n)),
+        Fault::Die(n) => nth(sim, *n).into_iter().for_each(|m| sim.die(m)),
+        Fault::Sick(n) => {
+            let id = nth(sim, *n);
+            if let Some(w) = id.and_then(|m| sim.workers.get_mut(&m)) {
+                w.sick = true;
+            }
+        }
+        Fault::Notice(n) => nth(sim, *n).into_iter().for_each(|m| sim.notice(m, 8)),
+        Fault::Submit(n) if !sim.jobs.contains_key(&name(*n)) => {
+            let id = name(*n);
+            match n % 4 {
+                0 => sim.submit(&id, &[("Pieces", json!(3)), ("RuntimeS", json!(6.0)), ("Crew", json!("small"))]),
+                1 => sim.submit(
+                    &id,
+                    &[
+                        ("Shape", json!("standing")),
+                        ("Rank", json!("prod")),
+                        ("RuntimeS", json!(0)),
+                        ("Pieces", json!(3)),
+                        ("Spread", json!(true)),
+                        ("Cores", json!(1.0)),
+                    ],
+                ),
+                2 => sim.submit(&id, &[("Loaners", json!(true)), ("RuntimeS", json!(15.0)), ("DueS", json!(60.0))]),
+                _ => sim.submit(&id, &[("Pieces", json!(5)), ("Rank", json!("low")), ("Cores", json!(4.0))]),
+            }
+        }
+        Fault::Submit(n) => sim.repeat(&name(*n)),
+        Fault::Cancel(n) => {
+            if sim.jobs.contains_key(&name(*n)) {
+                sim.cancel(&name(*n));
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(41),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_order_of_faults_breaks_a_rule(
+        seed in 0u64..1000,
+        faults in proptest::collection::vec((0u64..6000, fault()), 10..40),
+    ) {
+        let mut sim = Sim::new(seed);
+        sim.submit("job-000001", &[("Shape", json!("standing")), ("Rank", json!("prod")), ("RuntimeS", json!(0)),
+            ("Pieces", json!(3)), ("Spread", json!(true)), ("Cores", json!(1.0))]);
+        let mut at = 8000;
+        for (gap, fault) in &faults {
+            at += gap;
+            sim.run_until(at);
+            inject(&mut sim, fault);
+            prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+        }
+        // All is mended: what was accepted must end.
+        sim.state.down = false;
+        sim.state.deaf.clear();
+        (0..3).for_each(|n| sim.start(n));
+        let machines: Vec<u64> = sim.workers.keys().copied().collect();
+        for m in machines {
+            sim.hold_commands.remove(&m);
+            sim.heal(m);
+        }
+        sim.run_until(at + 300_000);
+        prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+        for (id, job) in sim.jobs.iter().filter(|(_, j)| j.accepted) {
+            let over = matches!(job.told.as_str(), "done" | "aborted");
+            prop_assert!(over || sim.running(id) == 3, "{id} is {} with {} running", job.told, sim.running(id));
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -368,6 +368,12 @@
         self.after(1000, Event::Poll(id.to_string()));
     }
 
+    /// Submits a known job once more, as a late retry does.
+    pub fn repeat(&mut self, id: &str) {
+        let body = self.jobs[id].spec.to_string().into_bytes();
+        self.after(0, Event::User(id.to_string(), UserCall::Submit(body)));
+    }
+
     pub fn cancel(&mut self, id: &str) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.withdrawing = true;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -50,6 +50,7 @@
                     .collect();
                 sim.submit(id, &change);
             }
+            ("repeat", [id]) => sim.repeat(id),
             ("cancel", [id]) => sim.cancel(id),
             ("crash", ["leader"]) => {
                 let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
@@ -158,5 +159,45 @@
 }
 
 traces! {
+    cancel_with_a_machine_unreachable,
+    crash_between_commit_and_answer,
+    delayed_run_after_a_kill,
+    deposed_leader_wakes,
+    done_before_and_after_failover,
+    election_with_a_lost_answer,
+    failing_machine_and_failing_job,
+    finish_not_yet_durable,
+    outage_then_all_nodes_lost,
     quiet_day,
+    room_for_a_service,
+    silent_machine,
+    spot_notice,
+    spread_with_one_zone_full,
+    team_limit,
+}
+
+/// Snapshots and all other writes are cut off after each step in turn, then every node dies: what
+/// was accepted or final before is still so, and the log does not grow without bound.
+#[test]
+fn snapshot_cut_off_at_each_step() {
+    for writes in 0..24 {
+        let mut sim = Sim::new(writes);
+        for n in 0..12 {
+            sim.run_until(1000 + n * 600);
+            sim.submit(&format!("job-{n:06}"), &[("Pieces", json!(1)), ("RuntimeS", json!(2.0))]);
+        }
+        sim.run_until(12_000 + writes * 150);
+        sim.state.writes_left = Some(writes as u32);
+        sim.run_until(22_000);
+        (0..3).for_each(|n| sim.crash(n));
+        sim.state.writes_left = None;
+        (0..3).for_each(|n| sim.start(n));
+        sim.run_until(100_000);
+        assert!(sim.broken.is_empty(), "after {writes} writes: {:?}", sim.broken);
+        for (id, job) in &sim.jobs {
+            assert_eq!(job.told, "done", "{id} after {writes} writes");
+        }
+        let log = sim.state.keys.keys().filter(|k| k.starts_with("log/")).count();
+        assert!(log < 40, "{log} log entries are left");
+    }
 }
