--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -173,6 +173,7 @@
     Fetched(u64, u64, u64),
     Ran(u64, u64, u64),
     Boot(u64),
+    LeaseCheck(u64),
     Poll(String),
     User(String, UserCall),
 }
@@ -617,14 +618,6 @@
         if !w.alive || !w.up {
             return;
         }
-        if now >= w.renewed + LEASE_MS {
-            // The lease is over: every task is killed and forgotten.
-            w.tasks.clear();
-            w.session += 1;
-            w.seq = 0;
-            w.renewed = now;
-            w.waiting = None;
-        }
         if w.waiting.is_some() || now < w.last_sent + 500 {
             return;
         }
@@ -642,6 +635,22 @@
         self.after(4000, Event::WorkerTick(machine));
     }
 
+    /// When the lease is over, every task is killed and forgotten.
+    fn check_lease(&mut self, machine: u64) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(&machine) else { return };
+        if now >= w.renewed + LEASE_MS {
+            w.tasks.clear();
+            w.session += 1;
+            w.seq = 0;
+            w.renewed = now;
+            w.waiting = None;
+            self.report_soon(machine);
+        }
+        let left = self.workers.get(&machine).map_or(0, |w| w.renewed + LEASE_MS - now);
+        self.after(left, Event::LeaseCheck(machine));
+    }
+
     fn execute(&mut self, machine: u64, orders: &[Order]) {
         for order in orders {
             let w = self.workers.get_mut(&machine).expect("a worker");
@@ -906,7 +915,9 @@
                 }
                 self.report_soon(machine);
             }
+            Event::LeaseCheck(machine) => self.check_lease(machine),
             Event::Boot(machine) => {
+                self.after(LEASE_MS, Event::LeaseCheck(machine));
                 let now = self.now;
                 if let Some(w) = self.workers.get_mut(&machine) {
                     w.up = true;
