--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    fn handle(&mut self, now: u64, node: usize, call: &StateCall) -> (u16, Value) {
+    pub fn handle(&mut self, now: u64, node: usize, call: &StateCall) -> (u16, Value) {
         if self.down || self.deaf.contains(&node) {
             return (503, json!({}));
         }
