A new session's lease counts from its beginning: tasks could be started twice

Found by random faults in simulated time: a session seen only through direct commands inherited the last answer of the session before, so its lease was declared over while its tasks still ran.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -231,7 +231,7 @@
                 leadership::Event::Elected(token) => {
                     self.ready = true;
                     let mut reign = Reign::new(token, now, &self.settings);
-                    reign.start(now, out);
+                    reign.start(now, wall, out);
                     self.reign = Some(reign);
                     self.unpark(now, wall, out);
                 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -38,6 +38,8 @@
 pub enum Event {
     /// Ask the cloud; the number comes back with the reply.
     Call(u64, CloudCall),
+    /// These machines were rented.
+    Rented(Vec<MachineId>),
     /// These machines are surely gone.
     Returned(Vec<MachineId>),
     /// The cloud lists this machine as failed.
@@ -113,6 +115,10 @@
     pub fn booting(&self) -> impl Iterator<Item = (&MachineId, &Booting)> {
         self.booting.iter().filter(|(id, _)| !self.returning.contains(id))
     }
+    /// One machine on its way.
+    pub fn booting_one(&self, id: MachineId) -> Option<&Booting> {
+        self.booting.get(&id)
+    }
     /// Whether a rental has no answer yet.
     pub fn renting(&self) -> bool {
         self.in_flight.values().any(|f| matches!(f.call, CloudCall::Rent(_)))
@@ -135,6 +141,11 @@
         self.booting.remove(&id).map(|b| b.since)
     }
 
+    /// A machine that an earlier leader rented.
+    pub fn inherit(&mut self, id: MachineId, booting: Booting) {
+        self.booting.insert(id, booting);
+    }
+
     /// Rents machines.
     pub fn rent(&mut self, now: Time, place: &Place, count: u32, out: &mut Vec<Event>) {
         self.requests += 1;
@@ -237,11 +248,14 @@
                     spot: request.spot,
                     since: flight.sent,
                 };
+                let mut fresh = Vec::new();
                 for id in names.iter().filter_map(|n| n.parse::<MachineId>().ok()) {
                     if !known(id) && !self.gone.contains(&id) {
                         self.booting.insert(id, booting.clone());
+                        fresh.push(id);
                     }
                 }
+                out.push(Event::Rented(fresh));
                 true
             }
             (CloudCall::Rent(request), 503) if reply.body.windows(11).any(|w| w == b"no capacity") => {
--- a/src/records.rs
+++ b/src/records.rs
@@ -7,7 +7,7 @@
 use crate::intake::JobRecord;
 use crate::leadership::LEADER_KEY;
 use crate::store::{Reply, StateCall, condition};
-use crate::units::{EntryNo, JobId, MachineId, Ranges, Revision, Span, TaskId, Time, Token};
+use crate::units::{EntryNo, JobId, MachineId, Ranges, Revision, Span, TaskId, Time, Token, Wall};
 use crate::wire::{Change, KeyPage, Txn, TxnAnswer};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -30,6 +30,9 @@
     /// Spot or ordinary.
     #[serde(rename = "s")]
     pub spot: bool,
+    /// When it was rented, or first heard of.
+    #[serde(rename = "a", default)]
+    pub at: Wall,
 }
 
 /// One durable fact. Applying a fact twice is the same as applying it once.
@@ -47,6 +50,16 @@
     /// A machine may get tasks from now on.
     #[serde(rename = "m")]
     Enrolled(MachineRecord),
+    /// A machine was rented and has not reported yet. Nothing waits for this fact: without it the
+    /// next leader would rent again what the cloud's list shows only later.
+    #[serde(rename = "r")]
+    Rented(MachineRecord),
+    /// A machine holds an image.
+    #[serde(rename = "i")]
+    Image(MachineId, String),
+    /// What CorrecFAST has learnt: its value in percent and how many executions it saw.
+    #[serde(rename = "l")]
+    Learnt(f64, u64),
     /// A machine is gone for ever.
     #[serde(rename = "g")]
     Gone(MachineId),
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -22,6 +22,8 @@
 
 /// Jobs that are kept open per MB of this process's memory.
 const JOBS_PER_MB: f64 = 250.0;
+/// Executions between two records of what CorrecFAST has learnt.
+const LEARNT_EVERY: u64 = 20;
 /// Facts that may wait to become durable.
 const BACKLOG_LIMIT: usize = 5000;
 
@@ -91,13 +93,13 @@
     }
 
     /// Reads back what is durable and asks the cloud for its machine types.
-    pub fn start(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub fn start(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
         let mut events = Vec::new();
         self.records.start(now, &mut events);
-        self.recorded(now, Wall(0), events, out);
+        self.recorded(now, wall, events, out);
         let mut events = Vec::new();
         self.fleet.tick(now, &mut events);
-        self.hired(now, events, out);
+        self.hired(now, wall, events, out);
     }
 
     /// The token of this reign.
@@ -271,7 +273,7 @@
         let mut events = Vec::new();
         self.records.reply(now, id, reply, &mut events);
         self.recorded(now, wall, events, out);
-        self.maybe_schedule(now, certain, out);
+        self.maybe_schedule(now, wall, certain, out);
     }
 
     fn recorded(&mut self, now: Time, wall: Wall, events: Vec<records::Event>, out: &mut Vec<Effect>) {
@@ -308,10 +310,26 @@
             Record::Enrolled(machine) => {
                 let mut m = Machine::new(machine.clone(), Room::default(), Enrolment::Durable, now);
                 m.wants_command = true;
+                m.since = ago(now, wall, machine.at);
+                self.fleet.up(machine.id);
                 self.unfenced.insert(machine.id);
                 self.machines.insert(machine.id, m);
             }
+            Record::Rented(machine) => {
+                let (kind, zone) = (machine.kind.clone(), machine.zone.clone());
+                let since = ago(now, wall, machine.at);
+                self.fleet.inherit(machine.id, fleet::Booting { kind, zone, spot: machine.spot, since });
+            }
+            Record::Image(id, image) => {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.images.insert(image.clone());
+                }
+            }
+            Record::Learnt(percent, executions) => {
+                self.correction = Correction { percent: *percent, executions: *executions };
+            }
             Record::Gone(id) => {
+                self.fleet.up(*id);
                 self.unfenced.remove(id);
                 self.machines.remove(id);
             }
@@ -330,7 +348,7 @@
                     m.enrolment = Enrolment::Durable;
                 }
             }
-            Record::Gone(_) => {}
+            Record::Gone(_) | Record::Rented(_) | Record::Image(..) | Record::Learnt(..) => {}
             other => {
                 if let Record::Done(job, tasks) = other {
                     for index in tasks.iter() {
@@ -418,6 +436,7 @@
                 kind: report.kind.clone(),
                 zone: report.zone.clone(),
                 spot: report.spot,
+                at: wall,
             };
             info!("up machine={id} type={} zone={} spot={}", report.kind, report.zone, report.spot);
             Machine::new(record, Room::default(), Enrolment::None, now)
@@ -426,6 +445,7 @@
             && let Some(machine) = self.machines.get_mut(&id)
         {
             machine.since = rented;
+            machine.record.at = Wall(wall.0.saturating_sub(now.since(rented).0));
         }
         self.message(now, wall, id, report);
         if let Some(machine) = self.machines.get_mut(&id) {
@@ -437,7 +457,7 @@
                 machine.wants_command = true;
             }
         }
-        self.maybe_schedule(now, certain, out);
+        self.maybe_schedule(now, wall, certain, out);
         if let Some(machine) = self.machines.get_mut(&id) {
             let orders = if machine.fenced { machine.orders() } else { Vec::new() };
             machine.answered = now;
@@ -479,7 +499,7 @@
         {
             machine.wants_command = true;
         }
-        self.maybe_schedule(now, certain, out);
+        self.maybe_schedule(now, wall, certain, out);
         self.flush(now, out);
     }
 
@@ -506,6 +526,7 @@
                     info!("fenced machine={id} token={}", self.token);
                     self.unfenced.remove(&id);
                 }
+                workers::Event::Image(image) => self.records.push(Record::Image(id, image)),
                 workers::Event::Found(attempt, task) => self.found(id, attempt, task),
                 workers::Event::Running(task) => {
                     if let Some(placed) = self.book.get_mut(task.job).and_then(|j| j.placed.get_mut(&task.index)) {
@@ -583,6 +604,9 @@
                 && let Some(predicted) = predicted
             {
                 self.correction.learn(now.since(since), predicted);
+                if self.correction.executions.is_multiple_of(LEARNT_EVERY) {
+                    self.records.push(Record::Learnt(self.correction.percent, self.correction.executions));
+                }
             }
             if job.done.insert(task.index) {
                 debug!("done {task} attempt={attempt} machine={id} took={}s", now.since(since).as_secs());
@@ -635,16 +659,16 @@
     // ---- cloud ----
 
     /// The cloud answered.
-    pub fn cloud(&mut self, now: Time, _wall: Wall, certain: bool, id: u64, reply: &Reply, out: &mut Vec<Effect>) {
+    pub fn cloud(&mut self, now: Time, wall: Wall, certain: bool, id: u64, reply: &Reply, out: &mut Vec<Effect>) {
         let mut events = Vec::new();
         let machines = &self.machines;
         self.fleet.reply(now, id, reply, &|id| machines.contains_key(&id), &mut events);
-        self.hired(now, events, out);
-        self.maybe_schedule(now, certain, out);
+        self.hired(now, wall, events, out);
+        self.maybe_schedule(now, wall, certain, out);
         self.flush(now, out);
     }
 
-    pub(crate) fn hired(&mut self, now: Time, events: Vec<fleet::Event>, out: &mut Vec<Effect>) {
+    pub(crate) fn hired(&mut self, now: Time, wall: Wall, events: Vec<fleet::Event>, out: &mut Vec<Effect>) {
         for event in events {
             match event {
                 fleet::Event::Call(id, call) => out.push(Effect::Cloud(self.token.0, id, call)),
@@ -654,18 +678,26 @@
                     }
                     self.fleet.give_back(id, "failed");
                 }
+                fleet::Event::Rented(ids) => {
+                    for id in ids {
+                        if let Some(b) = self.fleet.booting_one(id) {
+                            let at = Wall(wall.0.saturating_sub(now.since(b.since).0));
+                            let (kind, zone, endpoint) = (b.kind.clone(), b.zone.clone(), String::new());
+                            let record = MachineRecord { id, endpoint, kind, zone, spot: b.spot, at };
+                            self.records.push(Record::Rented(record));
+                        }
+                    }
+                }
                 fleet::Event::Returned(ids) => {
                     self.dirty = true;
                     for id in ids {
+                        self.records.push(Record::Gone(id));
                         self.plans.remove(id);
                         self.unfenced.remove(&id);
                         if let Some(mut machine) = self.machines.remove(&id) {
                             info!("gone machine={id}");
                             let mut events = Vec::new();
                             machine.drop_holds(&mut events);
-                            if machine.enrolment != Enrolment::None {
-                                self.records.push(Record::Gone(id));
-                            }
                             self.observed(now, id, events);
                         }
                     }
@@ -691,6 +723,15 @@
                 .filter(|m| m.enrolment == Enrolment::Durable)
                 .map(|m| Record::Enrolled(m.record.clone()))
                 .collect();
+            for m in self.machines.values().filter(|m| m.enrolment == Enrolment::Durable) {
+                facts.extend(m.images.iter().map(|image| Record::Image(m.id(), image.clone())));
+            }
+            facts.extend(self.fleet.booting().map(|(id, b)| {
+                let at = Wall(wall.0.saturating_sub(now.since(b.since).0));
+                let (kind, zone, endpoint) = (b.kind.clone(), b.zone.clone(), String::new());
+                Record::Rented(MachineRecord { id: *id, endpoint, kind, zone, spot: b.spot, at })
+            }));
+            facts.push(Record::Learnt(self.correction.percent, self.correction.executions));
             facts.extend(self.book.facts());
             debug!("snapshot facts={}", facts.len());
             self.records.begin_snapshot(facts.into_iter());
@@ -698,7 +739,7 @@
         if certain {
             let mut events = Vec::new();
             self.fleet.tick(now, &mut events);
-            self.hired(now, events, out);
+            self.hired(now, wall, events, out);
         }
         if now.since(self.watched) >= Span(250) {
             self.watched = now;
@@ -720,7 +761,7 @@
             self.dirty = true;
             info!("open token={} after={}s", self.token, now.since(self.since).as_secs());
         }
-        self.maybe_schedule(now, certain, out);
+        self.maybe_schedule(now, wall, certain, out);
         self.flush(now, out);
     }
 
@@ -827,6 +868,11 @@
     }
 }
 
+/// When something happened by this process's clock.
+fn ago(now: Time, wall: Wall, at: Wall) -> Time {
+    Time(now.0.saturating_sub(wall.0.saturating_sub(at.0)))
+}
+
 fn refused(refusal: &Refusal) -> Answer {
     let (status, body) = match refusal {
         Refusal::Malformed(field, problem) => (400, json!({"error": problem, "field": field})),
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -5,7 +5,7 @@
 use crate::intake::{self, Job};
 use crate::plan::{Entry, Order, Server, World};
 use crate::reign::Reign;
-use crate::units::{JobId, MachineId, Room, Span, TaskId, Time};
+use crate::units::{JobId, MachineId, Room, Span, TaskId, Time, Wall};
 use crate::workers::{Doubt, Hold, Machine, Phase};
 use log::{debug, info};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -143,7 +143,7 @@
         }
     }
 
-    pub(crate) fn maybe_schedule(&mut self, now: Time, certain: bool, out: &mut Vec<Effect>) {
+    pub(crate) fn maybe_schedule(&mut self, now: Time, wall: Wall, certain: bool, out: &mut Vec<Effect>) {
         if !self.loaded() || self.fleet.flavors().is_none() || now.since(self.scheduled) < SCHEDULE_EVERY {
             return;
         }
@@ -157,7 +157,7 @@
         if look {
             self.demanded = now;
             if certain {
-                self.rent(now, out);
+                self.rent(now, wall, out);
                 self.return_idle(now);
                 self.consolidate(now);
             }
@@ -665,7 +665,7 @@
             .min(u64::from(u32::MAX)) as u32
     }
 
-    fn rent(&mut self, now: Time, out: &mut Vec<Effect>) {
+    fn rent(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
         if self.fleet.renting() || (!self.open() && now.since(self.since) < Span(3000)) {
             return;
         }
@@ -691,7 +691,7 @@
         for (place, count) in counts.into_iter().take(4) {
             self.fleet.rent(now, &place, count, &mut events);
         }
-        self.hired(now, events, out);
+        self.hired(now, wall, events, out);
     }
 
     /// Empties an ordinary machine whose services fit on others that hold their images: a replica is
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -149,6 +149,8 @@
     Found(Attempt, TaskId),
     /// A claimed attempt began to run.
     Running(TaskId),
+    /// The machine now holds this image.
+    Image(String),
     /// A claimed attempt ended.
     Exited {
         /// Attempt.
@@ -236,6 +238,9 @@
                 self.drop_holds(out);
             }
             self.session = session;
+            // A session's lease counts from its beginning. Counting on from the last answer of the
+            // session before gave tasks up that still ran, and started them twice.
+            self.answered = now;
         }
         self.seq = seq;
         self.heard = now;
@@ -314,8 +319,8 @@
         match phase {
             Phase::Running => {
                 hold.running_since = Some(now);
-                if !hold.image.is_empty() {
-                    self.images.insert(hold.image.clone());
+                if !hold.image.is_empty() && self.images.insert(hold.image.clone()) {
+                    out.push(Event::Image(hold.image.clone()));
                 }
                 if hold.claimed {
                     out.push(Event::Running(task));
@@ -341,7 +346,6 @@
             }
         }
         self.flight = None;
-        self.images.clear();
     }
 
     /// The orders for a report's answer, which is never executed late.
@@ -422,3 +426,96 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn report(session: u64, seq: u64, token: u64, tasks: serde_json::Value) -> Report {
+        serde_json::from_value(json!({"Host": "m-000001", "Endpoint": "10.0.0.1:1", "Build": "small", "Yard": "a",
+            "Shift": session, "Tally": seq, "Baton": token, "Pieces": tasks}))
+        .unwrap()
+    }
+
+    fn machine() -> Machine {
+        let record = MachineRecord {
+            id: MachineId(1),
+            endpoint: "10.0.0.1:1".into(),
+            kind: "small".into(),
+            zone: "a".into(),
+            spot: false,
+            at: crate::units::Wall(0),
+        };
+        Machine::new(record, Room { cpus: 4000, gpus: 0, memory: 16_000 }, Enrolment::Durable, Time(0))
+    }
+
+    fn hold(task: &str, doubt: Doubt) -> Hold {
+        Hold {
+            task: task.parse().unwrap(),
+            phase: Phase::Ordered,
+            seen: false,
+            doubt,
+            stop: None,
+            stop_sent: false,
+            reapable: true,
+            claimed: true,
+            need: Room { cpus: 1000, gpus: 0, memory: 1000 },
+            rank: 0,
+            image: "img".into(),
+            since: Time(0),
+            running_since: None,
+            predicted: None,
+        }
+    }
+
+    /// Found by random faults: a session that was seen only through direct commands inherited the
+    /// lease of the one before.
+    #[test]
+    fn the_lease_of_a_new_session_counts_from_its_beginning() {
+        let (mut m, mut out) = (machine(), Vec::new());
+        m.message(Time(100), &report(1, 5, 7, json!([])), Token(7), &mut out);
+        assert_eq!((m.fenced, m.answered), (true, Time(100)));
+        m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::None));
+        out.clear();
+        m.message(Time(16_500), &report(2, 1, 7, json!([])), Token(7), &mut out);
+        assert_eq!(out, [Event::Lost("job-000001/0".parse().unwrap())]);
+        assert_eq!(m.answered, Time(16_500));
+    }
+
+    #[test]
+    fn an_older_message_changes_nothing() {
+        let (mut m, mut out) = (machine(), Vec::new());
+        let running = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "running"}]);
+        m.message(Time(100), &report(1, 5, 7, running), Token(7), &mut out);
+        out.clear();
+        m.message(Time(101), &report(1, 4, 7, json!([])), Token(7), &mut out);
+        m.message(Time(102), &report(0, 9, 7, json!([])), Token(7), &mut out);
+        assert!(out.is_empty() && m.holds.len() == 1);
+    }
+
+    #[test]
+    fn a_start_in_doubt_is_settled_by_run_and_kill_and_not_reaped() {
+        let mut m = machine();
+        m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::Lost));
+        m.stop(Attempt(1), 0.0);
+        let (task, attempt) = ("job-000001/0".to_string(), 1);
+        let kill = Order::Kill { task: task.clone(), attempt, grace_s: 0.0 };
+        assert_eq!(m.orders(), [Order::Run { task, attempt }, kill]);
+        assert!(m.direct_orders(9).is_empty(), "only answers to reports are never executed late");
+        m.fenced = true;
+        let exited = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "exited", "Cause": "halted"}]);
+        m.message(Time(1), &report(1, 1, 7, exited), Token(7), &mut Vec::new());
+        assert!(m.orders().is_empty(), "a late copy would start it anew");
+    }
+
+    #[test]
+    fn before_fencing_a_report_says_nothing_of_tasks() {
+        let (mut m, mut out) = (machine(), Vec::new());
+        let running = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "running"}]);
+        m.message(Time(100), &report(1, 5, 6, running.clone()), Token(7), &mut out);
+        assert!(out.is_empty() && !m.fenced);
+        m.message(Time(101), &report(1, 6, 7, running), Token(7), &mut out);
+        assert_eq!(out, [Event::Fenced, Event::Found(Attempt(1), "job-000001/0".parse().unwrap())]);
+    }
+}
