--- a/src/plan.rs
+++ b/src/plan.rs
@@ -144,6 +144,18 @@
         self.servers.insert(fresh.id, fresh);
     }
 
+    /// Takes tasks out that will never start where they wait, because services have taken the room.
+    pub fn release_stuck(&mut self, now: Time) {
+        let ids: Vec<MachineId> = self.servers.values().filter(|s| !s.queue.is_empty()).map(|s| s.id).collect();
+        for id in ids {
+            for (entry, _) in self.starts(id, now).iter().filter(|(_, start)| start.is_none()) {
+                if let Some(at) = self.servers[&id].queue.iter().rposition(|e| e.job == entry.job) {
+                    self.take(id, at);
+                }
+            }
+        }
+    }
+
     /// Room of a machine after a start in the same round.
     pub fn set_free(&mut self, id: MachineId, free: Room) {
         if let Some(server) = self.servers.get_mut(&id) {
@@ -586,6 +598,16 @@
         assert_eq!(shown(&plans), "T4,T1 | T2");
     }
 
+    #[test]
+    fn tasks_behind_services_that_took_their_room_are_planned_anew() {
+        let mut plans = Plans::default();
+        plans.refresh(Time(0), server(1));
+        plans.place(Time(0), task(1, 3, 1000), 1, &Table);
+        plans.refresh(Time(0), Server { free: Room::default(), ..server(1) });
+        plans.release_stuck(Time(0));
+        assert_eq!((shown(&plans).as_str(), plans.planned(JobId(1))), ("", 0));
+    }
+
     #[test]
     fn correcfast_follows_its_formula() {
         let mut c = Correction::default();
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -168,6 +168,7 @@
         self.refresh(now);
         let used = self.team_use();
         self.drain_noticed(now);
+        self.plans.release_stuck(now);
         self.plan_waiting(now, &used);
         let mut used = used;
         self.start_planned(now, &mut used);
@@ -551,7 +552,7 @@
                     }
                 };
                 if late {
-                    let long = start.is_none_or(|at| at > now + SPOT_PATIENCE);
+                    let long = start.is_some_and(|at| at > now + SPOT_PATIENCE);
                     *counts.entry((entry.order, entry.job, long)).or_insert(0) += 1;
                 }
             }
