--- a/src/runtime/links.rs
+++ b/src/runtime/links.rs
@@ -44,17 +44,18 @@
     });
 }
 
-async fn serve(stream: TcpStream, link: u64, tell: mpsc::Sender<Message>) {
-    let _ = stream.set_nodelay(true);
+/// Carries frames both ways until either side ends: `queue` out, and what comes in to `tell`.
+async fn carry(
+    stream: TcpStream,
+    queue: &mut mpsc::Receiver<Frame>,
+    tell: &mpsc::Sender<Message>,
+    wrap: impl Fn(Frame) -> Option<Input>,
+) {
     let (mut from, mut to) = stream.into_split();
-    let (answers, mut queue) = mpsc::channel::<Frame>(QUEUE);
-    if tell.send(Message::Linked(link, answers)).await.is_err() {
-        return;
-    }
     let reader = async {
         while let Some(frame) = read(&mut from).await {
-            if let Frame::Request(id, call) = frame
-                && tell.send(Message::Input(Input::User(Origin::Peer(link, id), call))).await.is_err()
+            if let Some(input) = wrap(frame)
+                && tell.send(Message::Input(input)).await.is_err()
             {
                 return;
             }
@@ -71,6 +72,19 @@
         () = reader => {}
         () = writer => {}
     }
+}
+
+async fn serve(stream: TcpStream, link: u64, tell: mpsc::Sender<Message>) {
+    let _ = stream.set_nodelay(true);
+    let (answers, mut queue) = mpsc::channel::<Frame>(QUEUE);
+    if tell.send(Message::Linked(link, answers)).await.is_err() {
+        return;
+    }
+    let request = |frame| match frame {
+        Frame::Request(id, call) => Some(Input::User(Origin::Peer(link, id), call)),
+        Frame::Answer(..) => None,
+    };
+    carry(stream, &mut queue, &tell, request).await;
     let _ = tell.send(Message::Unlinked(link)).await;
 }
 
@@ -85,27 +99,11 @@
                 let _ = stream.set_nodelay(true);
                 while queue.try_recv().is_ok() {}
                 let _ = tell.send(Message::Input(Input::Link(node.clone(), true))).await;
-                let (mut from, mut to) = stream.into_split();
-                let reader = async {
-                    while let Some(frame) = read(&mut from).await {
-                        if let Frame::Answer(id, answer) = frame
-                            && tell.send(Message::Input(Input::Forwarded(id, answer))).await.is_err()
-                        {
-                            return;
-                        }
-                    }
-                };
-                let writer = async {
-                    while let Some(frame) = queue.recv().await {
-                        if !write(&mut to, &frame).await {
-                            return;
-                        }
-                    }
+                let answer = |frame| match frame {
+                    Frame::Answer(id, answer) => Some(Input::Forwarded(id, answer)),
+                    Frame::Request(..) => None,
                 };
-                tokio::select! {
-                    () = reader => {}
-                    () = writer => {}
-                }
+                carry(stream, &mut queue, &tell, answer).await;
                 let _ = tell.send(Message::Input(Input::Link(node.clone(), false))).await;
             }
             tokio::time::sleep(Duration::from_millis(250)).await;
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,30 @@
+//! Final states are kept for ever: what they cost in memory is measured on the process itself.
+
+use caperstile::intake::JobBook;
+use caperstile::records::Record;
+use caperstile::units::{JobId, Time, Wall};
+
+/// Resident memory in bytes.
+fn resident() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").expect("Linux tells it");
+    let pages: usize = text.split(' ').nth(1).and_then(|p| p.parse().ok()).expect("a number");
+    pages * 4096
+}
+
+#[test]
+fn a_finished_job_costs_few_bytes() {
+    const JOBS: usize = 400_000;
+    let mut book = JobBook::default();
+    let before = resident();
+    for _ in 0..JOBS / 200 {
+        let start = book.finals() as u64 + 1;
+        let mut part: Vec<(u64, u32)> = vec![(1, 14); 200];
+        part[0].0 = start;
+        book.apply(&Record::Finals(part, vec![]), Time(0), Wall(0));
+    }
+    assert_eq!(book.finals(), JOBS);
+    assert!(book.state(JobId(JOBS as u64)).is_some() && book.state(JobId(JOBS as u64 + 1)).is_none());
+    let each = resident().saturating_sub(before) / JOBS;
+    println!("{each} bytes each");
+    assert!(each < 64, "{each} bytes for each finished job");
+}
