--- a/src/plan.rs
+++ b/src/plan.rs
@@ -144,11 +144,13 @@
         self.servers.insert(fresh.id, fresh);
     }
 
-    /// Takes tasks out that will never start where they wait, because services have taken the room.
+    /// Takes tasks out that will never start where they wait, because services have taken the room,
+    /// and services that would wait: room may have come up elsewhere, or may be made there.
     pub fn release_stuck(&mut self, now: Time) {
         let ids: Vec<MachineId> = self.servers.values().filter(|s| !s.queue.is_empty()).map(|s| s.id).collect();
         for id in ids {
-            for (entry, _) in self.starts(id, now).iter().filter(|(_, start)| start.is_none()) {
+            let stuck = |e: &Entry, start: &Option<Time>| start.is_none_or(|at| e.endless && at > now + Span(1000));
+            for (entry, _) in self.starts(id, now).iter().filter(|(e, start)| stuck(e, start)) {
                 if let Some(at) = self.servers[&id].queue.iter().rposition(|e| e.job == entry.job) {
                     self.take(id, at);
                 }
@@ -227,18 +229,6 @@
         self.count(job, -1);
     }
 
-    /// Moves one waiting task of a job to another machine's queue, where room is being made for it.
-    pub fn reassign(&mut self, job: JobId, from: MachineId, to: MachineId, run: Span) {
-        let at = self.servers.get(&from).and_then(|s| s.queue.iter().position(|e| e.job == job));
-        if let Some(at) = at
-            && self.servers.contains_key(&to)
-        {
-            let entry = Entry { run, count: 1, ..self.servers[&from].queue[at] };
-            self.take(from, at);
-            self.add(to, entry);
-        }
-    }
-
     fn add(&mut self, id: MachineId, entry: Entry) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         let at = position(&server.queue, entry.order);
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -5,7 +5,7 @@
 use crate::intake::{self, Job};
 use crate::plan::{Entry, Order, Server, World};
 use crate::reign::Reign;
-use crate::units::{JobId, MachineId, Room, Span, TaskId, Time, Wall};
+use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskId, Time, Wall};
 use crate::workers::{Doubt, Hold, Machine, Phase};
 use log::{debug, info};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -422,90 +422,68 @@
         }
     }
 
-    /// Stops tasks of lower priority where services would have to wait for room.
+    /// Stops tasks of lower priority where services are planned that would have to wait for room.
+    ///
+    /// The plan counts such room as free for services, so they are planned where it can be made; those
+    /// that lose least work go first.
     fn make_room(&mut self, now: Time) {
-        let mut waiting: Vec<(Order, JobId, Entry, MachineId)> = Vec::new();
+        let mut stops: Vec<(MachineId, Attempt, JobId)> = Vec::new();
         for server in self.plans.servers() {
-            for entry in server.queue.iter().filter(|e| e.endless && e.order.rank == 0) {
-                waiting.push((entry.order, entry.job, *entry, server.id));
-            }
-        }
-        waiting.sort_by_key(|w| w.0);
-        let mut claimed: HashMap<MachineId, Room> = HashMap::new();
-        for (_, id, entry, planned_on) in waiting.into_iter().take(16) {
-            let Some(job) = self.book.get(id) else { continue };
-            if !self.startable(job, now) {
-                continue;
+            let Some(machine) = self.machines.get(&server.id).filter(|m| m.usable()) else { continue };
+            let mut free = machine.free();
+            for hold in machine.holds.values().filter(|h| h.occupies() && h.stop.is_some()) {
+                free.add(&hold.need);
             }
-            for _ in 0..entry.count {
-                let Some(job) = self.book.get(id) else { break };
-                let parts = self.parts();
-                let mut best: Option<(u64, MachineId, Vec<crate::units::Attempt>)> = None;
-                for (mid, machine) in &self.machines {
-                    if !machine.usable() || !parts.allowed(job, *mid) {
-                        continue;
-                    }
-                    let Some(zone) = parts.zone(&machine.record.zone) else { continue };
-                    let mut others = parts.by_zone(job);
-                    if job.record.together && others.keys().any(|z| *z != zone) {
-                        continue;
-                    }
-                    if *others.entry(zone).or_insert(0) >= job.record.zone_cap() {
-                        continue;
-                    }
-                    let mut free = machine.free();
-                    for hold in machine.holds.values().filter(|h| h.occupies() && h.stop.is_some()) {
-                        free.add(&hold.need);
-                    }
-                    free.sub(&claimed.get(mid).copied().unwrap_or_default());
-                    let mut victims: Vec<(u64, crate::units::Attempt, Room)> = machine
-                        .holds
-                        .iter()
-                        .filter(|(_, h)| pushable(h, entry.order.rank))
-                        .map(|(a, h)| {
-                            let ran = h.running_since.map_or(Span(0), |r| now.since(r));
-                            let every = self.book.get(h.task.job).map_or(0, |j| j.record.checkpoint.0);
-                            let lost = if every > 0 { ran.0 % every } else { ran.0 };
-                            (lost, *a, h.need)
-                        })
-                        .collect();
-                    victims.sort_unstable_by_key(|v| v.0);
-                    let (mut cost, mut chosen) = (0, Vec::new());
-                    for (lost, attempt, room) in victims {
-                        if entry.need.fits(&free) {
-                            break;
-                        }
-                        free.add(&room);
-                        cost += lost * room.cpus / 1000 + 1;
-                        chosen.push(attempt);
-                    }
-                    if !entry.need.fits(&free) {
-                        continue;
-                    }
-                    let cached = machine.images.contains(&job.record.image);
-                    let cost = cost + if cached { 0 } else { 10_000 };
-                    if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
-                        best = Some((cost, *mid, chosen));
-                    }
+            let mut victims: Option<Vec<(u64, Attempt, Room)>> = None;
+            for entry in server.queue.iter().filter(|e| e.endless && e.order.rank == 0) {
+                if !self.book.get(entry.job).is_some_and(|job| self.startable(job, now)) {
+                    continue;
                 }
-                let Some((cost, mid, victims)) = best else { break };
-                claimed.entry(mid).or_default().add(&entry.need);
-                for attempt in victims {
-                    let Some(machine) = self.machines.get_mut(&mid) else { continue };
-                    if let Some(hold) = machine.holds.get(&attempt) {
-                        info!("preempted {} machine={mid} for={id} cost={cost}", hold.task);
+                for _ in 0..entry.count {
+                    let victims = victims.get_or_insert_with(|| self.victims(machine, now));
+                    let mut room = free;
+                    let enough = victims.iter().position(|(_, _, need)| {
+                        let fits = entry.need.fits(&room);
+                        room.add(need);
+                        fits
+                    });
+                    let count = match enough {
+                        Some(count) => count,
+                        None if entry.need.fits(&room) => victims.len(),
+                        None => break,
+                    };
+                    for (_, attempt, need) in victims.drain(..count) {
+                        free.add(&need);
+                        stops.push((server.id, attempt, entry.job));
                     }
-                    machine.stop(attempt, 0.0);
-                }
-                // It waits where room is made for it: planned elsewhere, lower tasks would take the room
-                // again and again.
-                if mid != planned_on
-                    && let Some(run) = self.book.get(id).and_then(|job| self.parts().predicted(job, mid))
-                {
-                    self.plans.reassign(id, planned_on, mid, run);
+                    free.sub(&entry.need);
                 }
             }
         }
+        for (id, attempt, job) in stops {
+            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            if let Some(hold) = machine.holds.get(&attempt) {
+                info!("preempted {} machine={id} for={job}", hold.task);
+            }
+            machine.stop(attempt, 0.0);
+        }
+    }
+
+    /// What may be stopped for a service on this machine, with the work it would lose, least first.
+    fn victims(&self, machine: &Machine, now: Time) -> Vec<(u64, Attempt, Room)> {
+        let mut victims: Vec<(u64, Attempt, Room)> = machine
+            .holds
+            .iter()
+            .filter(|(_, h)| pushable(h, 0))
+            .map(|(a, h)| {
+                let ran = h.running_since.map_or(Span(0), |r| now.since(r));
+                let every = self.book.get(h.task.job).map_or(0, |j| j.record.checkpoint.0);
+                let lost = if every > 0 { ran.0 % every } else { ran.0 };
+                (lost, *a, h.need)
+            })
+            .collect();
+        victims.sort_unstable_by_key(|v| v.0);
+        victims
     }
 
     /// Saves what can be saved on machines that the cloud takes back.
