--- a/src/wire.rs
+++ b/src/wire.rs
@@ -72,6 +72,9 @@
     Flushing,
     /// Ended.
     Exited,
+    /// A word of a later protocol: a report with it must still be taken.
+    #[serde(other)]
+    Other,
 }
 
 /// Why a task ended.
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -286,7 +286,7 @@
         out: &mut Vec<Event>,
     ) {
         let phase = match state {
-            TaskState::Fetching => Phase::Fetching,
+            TaskState::Fetching | TaskState::Other => Phase::Fetching,
             TaskState::Running => Phase::Running,
             TaskState::Flushing => Phase::Saving,
             TaskState::Exited => Phase::Exited,
