--- a/src/reign.rs
+++ b/src/reign.rs
@@ -10,7 +10,7 @@
 use crate::store::Reply;
 use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskId, Time, Token, Wall};
 use crate::wire::{Cause, Commands, Report, ReportAnswer};
-use crate::workers::{self, Doubt, Enrolment, Flight, Machine, Phase};
+use crate::workers::{self, Enrolment, Flight, Machine, Phase};
 use log::{debug, info, warn};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -861,11 +861,6 @@
             });
         }
     }
-
-    /// Whether a direct start of any attempt on this machine may still arrive late.
-    pub fn in_doubt(&self, id: MachineId) -> bool {
-        self.machines.get(&id).is_some_and(|m| m.holds.values().any(|h| h.doubt != Doubt::None))
-    }
 }
 
 /// When something happened by this process's clock.
