One way to take tasks out of queues, to turn times and to record a rental

Clean-up after reading the whole change; no change of behaviour intended: shared loops and conversions (Plans::unplan, Wall::of and instant, rented, order_of), one view for planning instead of two, an unused field and parameter removed.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -374,8 +374,7 @@
                     return Applied::Nothing;
                 }
                 if !self.live.contains_key(&job.id) {
-                    let age = Span(wall.0.saturating_sub(job.at.0));
-                    self.enter(job.clone(), Time(now.0.saturating_sub(age.0)), false);
+                    self.enter(job.clone(), wall.instant(now, job.at), false);
                 }
                 if let Some(entry) = self.live.get_mut(&job.id) {
                     entry.durable = true;
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -131,26 +131,21 @@
             *server = Server { queue, ..fresh };
             return;
         }
-        let ids: Vec<MachineId> = self.servers.keys().copied().collect();
-        for id in ids {
-            let starts = self.starts(id, now);
-            let later = |start: &Option<Time>| start.is_none_or(|at| at > fresh.ready + Span(1000));
-            for (entry, _) in starts.iter().filter(|(_, start)| later(start)) {
-                if let Some(at) = self.servers[&id].queue.iter().rposition(|e| e.job == entry.job) {
-                    self.take(id, at);
-                }
-            }
-        }
+        self.unplan(now, |_, start| start.is_none_or(|at| at > fresh.ready + Span(1000)));
         self.servers.insert(fresh.id, fresh);
     }
 
     /// Takes tasks out that will never start where they wait, because services have taken the room,
     /// and services that would wait: room may have come up elsewhere, or may be made there.
     pub fn release_stuck(&mut self, now: Time) {
+        self.unplan(now, |entry, start| start.is_none_or(|at| entry.endless && at > now + Span(1000)));
+    }
+
+    /// Takes the waiting tasks out of all queues that `which` picks by their predicted start.
+    fn unplan(&mut self, now: Time, which: impl Fn(&Entry, Option<Time>) -> bool) {
         let ids: Vec<MachineId> = self.servers.values().filter(|s| !s.queue.is_empty()).map(|s| s.id).collect();
         for id in ids {
-            let stuck = |e: &Entry, start: &Option<Time>| start.is_none_or(|at| e.endless && at > now + Span(1000));
-            for (entry, _) in self.starts(id, now).iter().filter(|(e, start)| stuck(e, start)) {
+            for (entry, _) in self.starts(id, now).iter().filter(|(entry, start)| which(entry, *start)) {
                 if let Some(at) = self.servers[&id].queue.iter().rposition(|e| e.job == entry.job) {
                     self.take(id, at);
                 }
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -310,14 +310,14 @@
             Record::Enrolled(machine) => {
                 let mut m = Machine::new(machine.clone(), Room::default(), Enrolment::Durable, now);
                 m.wants_command = true;
-                m.since = ago(now, wall, machine.at);
+                m.since = wall.instant(now, machine.at);
                 self.fleet.up(machine.id);
                 self.unfenced.insert(machine.id);
                 self.machines.insert(machine.id, m);
             }
             Record::Rented(machine) => {
                 let (kind, zone) = (machine.kind.clone(), machine.zone.clone());
-                let since = ago(now, wall, machine.at);
+                let since = wall.instant(now, machine.at);
                 self.fleet.inherit(machine.id, fleet::Booting { kind, zone, spot: machine.spot, since });
             }
             Record::Image(id, image) => {
@@ -445,9 +445,9 @@
             && let Some(machine) = self.machines.get_mut(&id)
         {
             machine.since = rented;
-            machine.record.at = Wall(wall.0.saturating_sub(now.since(rented).0));
+            machine.record.at = wall.of(now, rented);
         }
-        self.message(now, wall, id, report);
+        self.message(now, id, report);
         if let Some(machine) = self.machines.get_mut(&id) {
             if certain && machine.enrolment == Enrolment::None && !self.fleet.is_returning(id) {
                 machine.enrolment = Enrolment::Pending;
@@ -490,7 +490,7 @@
                 return;
             }
             if report.machine == id.to_string() {
-                self.message(now, wall, id, &report);
+                self.message(now, id, &report);
             }
         }
         if let Some(machine) = self.machines.get_mut(&id)
@@ -503,7 +503,7 @@
         self.flush(now, out);
     }
 
-    fn message(&mut self, now: Time, _wall: Wall, id: MachineId, report: &Report) {
+    fn message(&mut self, now: Time, id: MachineId, report: &Report) {
         let token = self.token;
         let Some(machine) = self.machines.get_mut(&id) else { return };
         let had_notice = machine.notice.is_some();
@@ -681,10 +681,7 @@
                 fleet::Event::Rented(ids) => {
                     for id in ids {
                         if let Some(b) = self.fleet.booting_one(id) {
-                            let at = Wall(wall.0.saturating_sub(now.since(b.since).0));
-                            let (kind, zone, endpoint) = (b.kind.clone(), b.zone.clone(), String::new());
-                            let record = MachineRecord { id, endpoint, kind, zone, spot: b.spot, at };
-                            self.records.push(Record::Rented(record));
+                            self.records.push(rented(id, b, wall.of(now, b.since)));
                         }
                     }
                 }
@@ -726,11 +723,7 @@
             for m in self.machines.values().filter(|m| m.enrolment == Enrolment::Durable) {
                 facts.extend(m.images.iter().map(|image| Record::Image(m.id(), image.clone())));
             }
-            facts.extend(self.fleet.booting().map(|(id, b)| {
-                let at = Wall(wall.0.saturating_sub(now.since(b.since).0));
-                let (kind, zone, endpoint) = (b.kind.clone(), b.zone.clone(), String::new());
-                Record::Rented(MachineRecord { id: *id, endpoint, kind, zone, spot: b.spot, at })
-            }));
+            facts.extend(self.fleet.booting().map(|(id, b)| rented(*id, b, wall.of(now, b.since))));
             facts.push(Record::Learnt(self.correction.percent, self.correction.executions));
             facts.extend(self.book.facts());
             debug!("snapshot facts={}", facts.len());
@@ -863,9 +856,10 @@
     }
 }
 
-/// When something happened by this process's clock.
-fn ago(now: Time, wall: Wall, at: Wall) -> Time {
-    Time(now.0.saturating_sub(wall.0.saturating_sub(at.0)))
+/// The fact that a machine was rented; where its worker is will be told by its first report.
+fn rented(id: MachineId, b: &fleet::Booting, at: Wall) -> Record {
+    let (kind, zone, endpoint) = (b.kind.clone(), b.zone.clone(), String::new());
+    Record::Rented(MachineRecord { id, endpoint, kind, zone, spot: b.spot, at })
 }
 
 fn refused(refusal: &Refusal) -> Answer {
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -23,13 +23,8 @@
 /// Why a machine is drained whose services were moved to others.
 const CONSOLIDATED: &str = "its services fit elsewhere";
 
-/// What the plan may know, borrowed beside the plan itself.
+/// The parts of a reign that planning reads, borrowed beside the plan itself.
 struct View<'a> {
-    reign: &'a Parts<'a>,
-}
-
-/// The parts of a reign that planning reads.
-struct Parts<'a> {
     book: &'a intake::JobBook,
     machines: &'a BTreeMap<MachineId, Machine>,
     fleet: &'a fleet::Fleet,
@@ -37,7 +32,7 @@
     zones: &'a [String],
 }
 
-impl Parts<'_> {
+impl View<'_> {
     fn place_of(&self, id: MachineId) -> Option<(&str, &str, bool)> {
         if let Some(m) = self.machines.get(&id) {
             return Some((&m.record.kind, &m.record.zone, m.record.spot));
@@ -82,16 +77,16 @@
 
 impl World for View<'_> {
     fn predict(&self, job: JobId, server: &Server) -> Option<Span> {
-        let job = self.reign.book.get(job)?;
-        if !self.reign.allowed(job, server.id) {
+        let job = self.book.get(job)?;
+        if !self.allowed(job, server.id) {
             return None;
         }
-        self.reign.predicted(job, server.id)
+        self.predicted(job, server.id)
     }
 
     fn zone_room(&self, job: JobId, zone: usize, planned: &BTreeMap<usize, u32>) -> u32 {
-        let Some(job) = self.reign.book.get(job) else { return 0 };
-        let mut zones = self.reign.by_zone(job);
+        let Some(job) = self.book.get(job) else { return 0 };
+        let mut zones = self.by_zone(job);
         for (zone, n) in planned {
             *zones.entry(*zone).or_insert(0) += n;
         }
@@ -102,10 +97,14 @@
     }
 }
 
+fn order_of(job: &Job) -> Order {
+    Order { rank: job.record.rank, seq: job.seq }
+}
+
 fn entry_of(job: &Job) -> Entry {
     Entry {
         job: job.record.id,
-        order: Order { rank: job.record.rank, seq: job.seq },
+        order: order_of(job),
         count: 1,
         need: job.record.need,
         run: Span(0),
@@ -133,8 +132,8 @@
 }
 
 impl Reign {
-    fn parts(&self) -> Parts<'_> {
-        Parts {
+    fn parts(&self) -> View<'_> {
+        View {
             book: &self.book,
             machines: &self.machines,
             fleet: &self.fleet,
@@ -286,7 +285,7 @@
             .filter(|j| self.startable(j, now) && self.within_limit(used, j, 1))
             .filter_map(|j| {
                 let left = j.pending.len().saturating_sub(self.plans.planned(j.record.id));
-                (left > 0).then_some((Order { rank: j.record.rank, seq: j.seq }, j.record.id, left))
+                (left > 0).then_some((order_of(j), j.record.id, left))
             })
             .collect();
         waiting.sort_unstable();
@@ -303,7 +302,7 @@
             let want = left.min(BATCH);
             let mut plans = std::mem::take(&mut self.plans);
             let parts = self.parts();
-            let placed = plans.place(now, entry, want, &View { reign: &parts });
+            let placed = plans.place(now, entry, want, &parts);
             self.plans = plans;
             if placed < want && plain && !entry.tied {
                 hopeless.push(class);
@@ -539,8 +538,7 @@
             let left = job.pending.len().saturating_sub(self.plans.planned(job.record.id));
             if left > 0 {
                 let long = now.since(job.submitted) > SPOT_PATIENCE;
-                let order = Order { rank: job.record.rank, seq: job.seq };
-                *counts.entry((order, job.record.id, long)).or_insert(0) += left;
+                *counts.entry((order_of(job), job.record.id, long)).or_insert(0) += left;
             }
         }
         let headroom = self.headroom(boot);
@@ -599,9 +597,9 @@
     /// would be up: without room, even that of lower tasks, they would wait for the boot.
     fn headroom(&self, boot: Span) -> Option<Demand> {
         let (job, wanted) = self.expected_services(boot.as_secs())?;
+        let parts = self.parts();
         let mut there = 0;
         for server in self.plans.servers() {
-            let parts = self.parts();
             if parts.allowed(job, server.id) {
                 let mut room = server.free;
                 room.add(&server.soft);
--- a/src/units.rs
+++ b/src/units.rs
@@ -167,6 +167,17 @@
 #[serde(transparent)]
 pub struct Wall(pub u64);
 
+impl Wall {
+    /// The time of day at an earlier instant of this process's clock, given both now.
+    pub fn of(self, now: Time, then: Time) -> Wall {
+        Wall(self.0.saturating_sub(now.since(then).0))
+    }
+    /// The instant of this process's clock at an earlier time of day, given both now.
+    pub fn instant(self, now: Time, then: Wall) -> Time {
+        Time(now.0.saturating_sub(self.0.saturating_sub(then.0)))
+    }
+}
+
 /// What a task takes of a machine, in thousandths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Room {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -138,8 +138,6 @@
     pub idle_since: Option<Time>,
     /// Different jobs that failed here since the last success.
     pub failed_jobs: BTreeSet<crate::units::JobId>,
-    /// Sum of actual over predicted run times, and how many, to spot slow machines.
-    pub pace: (f64, u32),
 }
 
 /// What a message of a worker showed.
@@ -195,7 +193,6 @@
             draining: None,
             idle_since: None,
             failed_jobs: BTreeSet::new(),
-            pace: (0.0, 0),
         }
     }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -400,9 +400,7 @@
 
     fn failed(&mut self, asker: Asker) {
         match asker {
-            Asker::User { job, call: UserCall::Get(_), .. } => {
-                let _ = job;
-            }
+            Asker::User { call: UserCall::Get(_), .. } => {}
             Asker::User { job, call, .. } => self.after(1000, Event::User(job, call)),
             Asker::Worker { machine, number, .. } => self.worker_failed(machine, number),
         }
