--- /dev/null
+++ b/src/controller.rs
@@ -0,0 +1,351 @@
+//! A node as one state machine: inputs in, what to send, write and answer out.
+//!
+//! No I/O and no clocks here: `now` and `wall` come with every input.
+
+use crate::fleet::CloudCall;
+use crate::intake::JobRecord;
+use crate::leadership::{self, Leadership};
+use crate::peers::{Answer, UserCall};
+use crate::reign::Reign;
+use crate::settings::Settings;
+use crate::store::{Reply, StateCall};
+use crate::units::{MachineId, Span, Time, Wall};
+use crate::wire::{Commands, Report};
+use rand::{SeedableRng, rngs::SmallRng};
+use serde_json::json;
+use std::collections::{BTreeMap, HashSet, VecDeque};
+
+/// Who waits for an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Origin {
+    /// A request over HTTP.
+    Http(u64),
+    /// A user's request that another node forwarded: its link and number.
+    Peer(u64, u64),
+}
+
+/// Which slice made a call to the state service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Slot {
+    /// Leadership.
+    Leadership,
+    /// Records, of the reign with this token.
+    Records(u64),
+}
+
+/// What happens to a node.
+#[derive(Debug)]
+pub enum Input {
+    /// Time passes.
+    Tick,
+    /// A user asks, here or through another node.
+    User(Origin, UserCall),
+    /// A worker reports.
+    Report(Origin, Box<Report>),
+    /// The load balancer probes.
+    Up(Origin),
+    /// The state service answered, or did not.
+    State(Slot, u64, Reply),
+    /// The cloud answered, or did not; with the reign's token.
+    Cloud(u64, u64, Reply),
+    /// A worker answered a direct command, or did not; with the reign's token.
+    Command(u64, MachineId, u64, Reply),
+    /// The leader answered a forwarded request.
+    Forwarded(u64, Answer),
+    /// The link to a node is up or down.
+    Link(String, bool),
+}
+
+/// What a node wants done.
+#[derive(Debug)]
+pub enum Effect {
+    /// Answer a request.
+    Answer(Origin, Answer),
+    /// Ask the state service.
+    State(Slot, u64, StateCall),
+    /// Ask the cloud.
+    Cloud(u64, u64, CloudCall),
+    /// Send commands to a worker.
+    Command {
+        /// The reign's token.
+        token: u64,
+        /// Machine.
+        machine: MachineId,
+        /// Its worker's address.
+        endpoint: String,
+        /// Number of the command.
+        id: u64,
+        /// The commands.
+        body: Commands,
+    },
+    /// Forward a user's request to the leader.
+    Forward(String, u64, UserCall),
+}
+
+#[derive(Debug)]
+struct Parked {
+    origin: Origin,
+    call: UserCall,
+    until: Time,
+}
+
+#[derive(Debug)]
+struct Forward {
+    origin: Origin,
+    call: UserCall,
+    until: Time,
+    node: String,
+}
+
+/// How long a user's request waits for a leader before it is told to come back.
+const PATIENCE: Span = Span(1200);
+/// How long the leader may take over a forwarded request.
+const FORWARD_TIMEOUT: Span = Span(3500);
+const PARKED_LIMIT: usize = 400;
+/// A follower that cannot reach the leader for so long cannot take requests.
+const CUT_OFF: Span = Span(6000);
+
+/// A node.
+pub struct Controller {
+    settings: Settings,
+    leadership: Leadership,
+    reign: Option<Reign>,
+    parked: VecDeque<Parked>,
+    forwards: BTreeMap<u64, Forward>,
+    forward_ids: u64,
+    links: HashSet<String>,
+    ready: bool,
+    reachable: Time,
+}
+
+/// 503: come back after so many seconds.
+pub(crate) fn unavailable(why: &str) -> Answer {
+    Answer { status: 503, retry_after: 1, body: json!({"error": why}).to_string() }
+}
+
+impl Controller {
+    /// A node that has just started; `incarnation` must be random.
+    pub fn new(settings: Settings, incarnation: u64) -> Controller {
+        let rng = SmallRng::seed_from_u64(incarnation);
+        let leadership = Leadership::new(&settings.node, incarnation, settings.tuning.leader_lease, rng);
+        Controller {
+            settings,
+            leadership,
+            reign: None,
+            parked: VecDeque::new(),
+            forwards: BTreeMap::new(),
+            forward_ids: 0,
+            links: HashSet::new(),
+            ready: false,
+            reachable: Time(0),
+        }
+    }
+
+    /// The reign, while this node leads.
+    pub fn reign(&self) -> Option<&Reign> {
+        self.reign.as_ref()
+    }
+
+    /// Takes one input and says what is to be done.
+    pub fn handle(&mut self, now: Time, wall: Wall, input: Input) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match input {
+            Input::Tick => self.tick(now, wall, &mut out),
+            Input::User(origin, call) => self.user(now, wall, origin, call, now + PATIENCE, &mut out),
+            Input::Report(origin, report) => self.report(now, wall, origin, &report, &mut out),
+            Input::Up(origin) => out.push(Effect::Answer(origin, self.up(now))),
+            Input::State(Slot::Leadership, id, reply) => {
+                let mut events = Vec::new();
+                self.leadership.reply(now, id, &reply, &mut events);
+                self.led(now, wall, events, &mut out);
+            }
+            Input::State(Slot::Records(token), id, reply) => {
+                self.with_reign(now, token, &mut out, |reign, certain, out| {
+                    reign.state(now, wall, certain, id, &reply, out)
+                });
+            }
+            Input::Cloud(token, id, reply) => {
+                self.with_reign(now, token, &mut out, |reign, certain, out| {
+                    reign.cloud(now, wall, certain, id, &reply, out)
+                });
+            }
+            Input::Command(token, machine, id, reply) => {
+                self.with_reign(now, token, &mut out, |reign, certain, out| {
+                    reign.command_answer(now, wall, certain, machine, id, &reply, out)
+                });
+            }
+            Input::Forwarded(id, answer) => {
+                if let Some(forward) = self.forwards.remove(&id) {
+                    out.push(Effect::Answer(forward.origin, answer));
+                }
+            }
+            Input::Link(node, true) => {
+                self.links.insert(node);
+                self.unpark(now, wall, &mut out);
+            }
+            Input::Link(node, false) => {
+                self.links.remove(&node);
+                if self.leadership.leader() == Some(node.as_str()) {
+                    self.leadership.hurry(now);
+                }
+                // All of the users' requests may be repeated, so they are asked again.
+                let ids: Vec<u64> = self.forwards.iter().filter(|(_, f)| f.node == node).map(|(id, _)| *id).collect();
+                for id in ids {
+                    if let Some(f) = self.forwards.remove(&id) {
+                        let until = f.until.min(now + PATIENCE);
+                        self.user(now, wall, f.origin, f.call, until, &mut out);
+                    }
+                }
+            }
+        }
+        out
+    }
+
+    fn with_reign(
+        &mut self,
+        now: Time,
+        token: u64,
+        out: &mut Vec<Effect>,
+        act: impl FnOnce(&mut Reign, bool, &mut Vec<Effect>),
+    ) {
+        let certain = self.leadership.certain(now);
+        if let Some(reign) = self.reign.as_mut().filter(|r| r.token().0 == token) {
+            act(reign, certain, out);
+        }
+        self.check_reign(now, out);
+    }
+
+    /// Ends the reign if it has learnt of a higher token or a lost key.
+    fn check_reign(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if let Some(why) = self.reign.as_ref().and_then(Reign::over) {
+            let mut events = Vec::new();
+            self.leadership.step_down(now, why, &mut events);
+            self.led(now, Wall(0), events, out);
+        }
+    }
+
+    fn led(&mut self, now: Time, wall: Wall, events: Vec<leadership::Event>, out: &mut Vec<Effect>) {
+        for event in events {
+            match event {
+                leadership::Event::Call(id, call) => out.push(Effect::State(Slot::Leadership, id, call)),
+                leadership::Event::Elected(token) => {
+                    self.ready = true;
+                    let mut reign = Reign::new(token, now, &self.settings);
+                    reign.start(now, out);
+                    self.reign = Some(reign);
+                    self.unpark(now, wall, out);
+                }
+                leadership::Event::SteppedDown(_) => {
+                    if let Some(reign) = self.reign.take() {
+                        reign.abdicate(out);
+                    }
+                }
+                leadership::Event::Leader(leader) => {
+                    if leader.is_some() {
+                        self.ready = true;
+                        self.unpark(now, wall, out);
+                    }
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
+        let mut events = Vec::new();
+        self.leadership.tick(now, &mut events);
+        self.led(now, wall, events, out);
+        let certain = self.leadership.certain(now);
+        if let Some(reign) = &mut self.reign {
+            reign.tick(now, wall, certain, out);
+        }
+        self.check_reign(now, out);
+        if self.reign.as_ref().is_some_and(Reign::loaded) && !self.parked.is_empty() {
+            self.unpark(now, wall, out);
+        }
+        while self.parked.front().is_some_and(|p| p.until <= now) {
+            if let Some(p) = self.parked.pop_front() {
+                out.push(Effect::Answer(p.origin, unavailable("no leader")));
+            }
+        }
+        let late: Vec<u64> = self.forwards.iter().filter(|(_, f)| f.until <= now).map(|(id, _)| *id).collect();
+        for id in late {
+            if let Some(f) = self.forwards.remove(&id) {
+                out.push(Effect::Answer(f.origin, unavailable("the leader does not answer")));
+            }
+        }
+        // Cut off from a leader that others can reach. In an outage of the state service nothing
+        // is known of the leader, and being marked healthy again is slow: the node stays up.
+        let linked = match self.leadership.leader() {
+            Some(leader) => leader == self.settings.node || self.links.contains(leader),
+            None => true,
+        };
+        let state_answers = self.leadership.answered.is_some_and(|at| now.since(at) < Span(1500));
+        if linked || !state_answers {
+            self.reachable = now;
+        }
+    }
+
+    fn up(&self, now: Time) -> Answer {
+        if self.ready && now.since(self.reachable) < CUT_OFF {
+            Answer { status: 200, retry_after: 0, body: "{}".into() }
+        } else {
+            unavailable("not ready")
+        }
+    }
+
+    fn user(&mut self, now: Time, wall: Wall, origin: Origin, call: UserCall, until: Time, out: &mut Vec<Effect>) {
+        let certain = self.leadership.certain(now);
+        if let Some(reign) = &mut self.reign {
+            if reign.loaded() {
+                reign.user(now, wall, certain, origin, &call, out);
+                return;
+            }
+        } else if let Some(leader) = self.leadership.leader().map(str::to_string)
+            && self.links.contains(&leader)
+            && matches!(origin, Origin::Http(_))
+        {
+            self.forward_ids += 1;
+            let id = self.forward_ids;
+            out.push(Effect::Forward(leader.clone(), id, call.clone()));
+            self.forwards.insert(id, Forward { origin, call, until: now + FORWARD_TIMEOUT, node: leader });
+            return;
+        }
+        if now >= until || self.parked.len() >= PARKED_LIMIT || !self.ready {
+            out.push(Effect::Answer(origin, unavailable("no leader")));
+        } else {
+            self.parked.push_back(Parked { origin, call, until });
+        }
+    }
+
+    /// Requests that waited for a leader try again.
+    fn unpark(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
+        for p in std::mem::take(&mut self.parked) {
+            self.user(now, wall, p.origin, p.call, p.until, out);
+        }
+    }
+
+    fn report(&mut self, now: Time, wall: Wall, origin: Origin, report: &Report, out: &mut Vec<Effect>) {
+        let certain = self.leadership.certain(now);
+        match &mut self.reign {
+            Some(reign) if reign.loaded() => {
+                reign.report(now, wall, certain, origin, report, out);
+                self.check_reign(now, out);
+            }
+            Some(_) => out.push(Effect::Answer(origin, unavailable("loading"))),
+            None => {
+                let answer = match self.leadership.leader() {
+                    Some(leader) => {
+                        Answer { status: 421, retry_after: 0, body: json!({"Steward": leader}).to_string() }
+                    }
+                    None => unavailable("no leader"),
+                };
+                out.push(Effect::Answer(origin, answer));
+            }
+        }
+    }
+}
+
+/// What users are told of a job that is accepted.
+pub(crate) fn accepted(record: &JobRecord) -> Answer {
+    Answer { status: 201, retry_after: 0, body: json!({"Ref": record.id.to_string(), "Status": "queued"}).to_string() }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,471 @@
+//! Which machines there are: rent, watch, return.
+
+use crate::settings::CloudLimits;
+use crate::store::Reply;
+use crate::units::{MachineId, Room, Span, Time, Token};
+use crate::wire::{Flavor, Flavors, MachineList, MachineNames, RentRequest};
+use log::info;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A request to the cloud.
+#[derive(Debug, Clone)]
+pub enum CloudCall {
+    /// Machine types and prices.
+    Flavors,
+    /// Rent machines.
+    Rent(RentRequest),
+    /// Give machines back.
+    Return(Vec<MachineId>),
+    /// List machines after this one.
+    List(Option<String>),
+}
+
+/// A machine that was rented and has not reported yet.
+#[derive(Debug, Clone)]
+pub struct Booting {
+    /// Type.
+    pub kind: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// When it was rented.
+    pub since: Time,
+}
+
+/// What the slice wants done or made known.
+#[derive(Debug)]
+pub enum Event {
+    /// Ask the cloud; the number comes back with the reply.
+    Call(u64, CloudCall),
+    /// These machines are surely gone.
+    Returned(Vec<MachineId>),
+    /// The cloud lists this machine as failed.
+    Failed(MachineId),
+}
+
+#[derive(Debug)]
+struct InFlight {
+    call: CloudCall,
+    sent: Time,
+    retry_at: Option<Time>,
+}
+
+/// A type, zone and kind of machine.
+pub type Place = (String, String, bool);
+
+/// State of the slice; made anew at each election.
+#[derive(Debug)]
+pub struct Fleet {
+    token: Token,
+    rps: f64,
+    budget: f64,
+    refilled: Time,
+    calls: u64,
+    requests: u64,
+    flavors: Option<Vec<Flavor>>,
+    flavors_at: Time,
+    listed_at: Time,
+    list_lag: Span,
+    in_flight: BTreeMap<u64, InFlight>,
+    booting: BTreeMap<MachineId, Booting>,
+    /// Places that refused lately, until when, and the last pause.
+    refused: HashMap<Place, (Time, Span)>,
+    returning: BTreeSet<MachineId>,
+    gone: BTreeSet<MachineId>,
+}
+
+const CALL_TIMEOUT: Span = Span(5000);
+const FLAVORS_EVERY: Span = Span(30_000);
+const LIST_EVERY: Span = Span(5000);
+
+impl Fleet {
+    /// A new leader's view: it knows nothing yet.
+    pub fn new(token: Token, now: Time, limits: &CloudLimits) -> Fleet {
+        Fleet {
+            token,
+            rps: limits.rps * 0.8,
+            budget: limits.rps,
+            refilled: now,
+            calls: 0,
+            requests: 0,
+            flavors: None,
+            flavors_at: Time(0),
+            listed_at: Time(0),
+            list_lag: Span::secs(limits.list_lag_s),
+            in_flight: BTreeMap::new(),
+            booting: BTreeMap::new(),
+            refused: HashMap::new(),
+            returning: BTreeSet::new(),
+            gone: BTreeSet::new(),
+        }
+    }
+
+    /// Machine types, once known.
+    pub fn flavors(&self) -> Option<&[Flavor]> {
+        self.flavors.as_deref()
+    }
+    /// One machine type.
+    pub fn flavor(&self, kind: &str) -> Option<&Flavor> {
+        self.flavors.iter().flatten().find(|f| f.name == kind)
+    }
+    /// Machines on their way.
+    pub fn booting(&self) -> impl Iterator<Item = (&MachineId, &Booting)> {
+        self.booting.iter().filter(|(id, _)| !self.returning.contains(id))
+    }
+    /// Whether a rental has no answer yet.
+    pub fn renting(&self) -> bool {
+        self.in_flight.values().any(|f| matches!(f.call, CloudCall::Rent(_)))
+    }
+    /// Whether a machine is surely gone.
+    pub fn is_gone(&self, id: MachineId) -> bool {
+        self.gone.contains(&id)
+    }
+    /// Whether a machine is being returned.
+    pub fn is_returning(&self, id: MachineId) -> bool {
+        self.returning.contains(&id)
+    }
+    /// Whether a place refused a rental lately.
+    pub fn refused(&self, place: &Place, now: Time) -> bool {
+        self.refused.get(place).is_some_and(|(until, _)| now < *until)
+    }
+
+    /// A machine's worker reported: it is up. Says when it was rented, if that is known.
+    pub fn up(&mut self, id: MachineId) -> Option<Time> {
+        self.booting.remove(&id).map(|b| b.since)
+    }
+
+    /// Rents machines.
+    pub fn rent(&mut self, now: Time, place: &Place, count: u32, out: &mut Vec<Event>) {
+        self.requests += 1;
+        let request = format!("r-{}-{}", self.token, self.requests);
+        info!("renting request={request} type={} zone={} spot={} count={count}", place.0, place.1, place.2);
+        let call = CloudCall::Rent(RentRequest {
+            request,
+            kind: place.0.clone(),
+            zone: place.1.clone(),
+            spot: place.2,
+            count: count.min(50),
+        });
+        self.call(now, call, out);
+    }
+
+    /// Gives a machine back; final, since names never come back.
+    pub fn give_back(&mut self, id: MachineId, why: &str) {
+        if self.returning.insert(id) {
+            info!("returning machine={id} reason=\"{why}\"");
+        }
+    }
+
+    fn call(&mut self, now: Time, call: CloudCall, out: &mut Vec<Event>) {
+        self.calls += 1;
+        self.budget -= 1.0;
+        self.in_flight.insert(self.calls, InFlight { call: call.clone(), sent: now, retry_at: None });
+        out.push(Event::Call(self.calls, call));
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Event>) {
+        self.budget = (self.budget + now.since(self.refilled).as_secs() * self.rps).min(self.rps);
+        self.refilled = now;
+        let due: Vec<u64> = self
+            .in_flight
+            .iter()
+            .filter(|(_, f)| f.retry_at.map_or(now.since(f.sent) >= CALL_TIMEOUT, |at| now >= at))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            if self.budget < 1.0 {
+                return;
+            }
+            if let Some(flight) = self.in_flight.remove(&id) {
+                // A rental is repeated under its name, so that it rents nothing twice.
+                self.call(now, flight.call, out);
+            }
+        }
+        let idle = |f: &Self, same: fn(&CloudCall) -> bool| !f.in_flight.values().any(|f| same(&f.call));
+        if self.budget >= 1.0
+            && (self.flavors.is_none() || now.since(self.flavors_at) >= FLAVORS_EVERY)
+            && idle(self, |c| matches!(c, CloudCall::Flavors))
+        {
+            self.call(now, CloudCall::Flavors, out);
+        }
+        if self.budget >= 1.0 && !self.returning.is_empty() && idle(self, |c| matches!(c, CloudCall::Return(_))) {
+            let ids = self.returning.iter().take(100).copied().collect();
+            self.call(now, CloudCall::Return(ids), out);
+        }
+        if self.budget >= 2.0
+            && (self.listed_at == Time(0) || now.since(self.listed_at) >= LIST_EVERY)
+            && idle(self, |c| matches!(c, CloudCall::List(_)))
+        {
+            self.listed_at = now;
+            self.call(now, CloudCall::List(None), out);
+        }
+    }
+
+    /// Takes an answer of the cloud.
+    pub fn reply(
+        &mut self,
+        now: Time,
+        id: u64,
+        reply: &Reply,
+        known: &dyn Fn(MachineId) -> bool,
+        out: &mut Vec<Event>,
+    ) {
+        let Some(flight) = self.in_flight.get_mut(&id) else { return };
+        let done = match (&flight.call, reply.status) {
+            (CloudCall::Flavors, 200) => match reply.parse::<Flavors>() {
+                Some(answer) => {
+                    self.flavors = Some(answer.types);
+                    self.flavors_at = now;
+                    true
+                }
+                None => false,
+            },
+            (CloudCall::Rent(request), 200) => {
+                let names = reply.parse::<MachineNames>().map(|n| n.machines).unwrap_or_default();
+                info!("rented request={} machines={}", request.request, names.join(","));
+                let place = (request.kind.clone(), request.zone.clone(), request.spot);
+                if names.len() < request.count as usize {
+                    refuse(&mut self.refused, now, place);
+                } else {
+                    self.refused.remove(&place);
+                }
+                let booting = Booting {
+                    kind: request.kind.clone(),
+                    zone: request.zone.clone(),
+                    spot: request.spot,
+                    since: flight.sent,
+                };
+                for id in names.iter().filter_map(|n| n.parse::<MachineId>().ok()) {
+                    if !known(id) && !self.gone.contains(&id) {
+                        self.booting.insert(id, booting.clone());
+                    }
+                }
+                true
+            }
+            (CloudCall::Rent(request), 503) if reply.body.windows(11).any(|w| w == b"no capacity") => {
+                let place = (request.kind.clone(), request.zone.clone(), request.spot);
+                info!("no capacity request={} type={} zone={} spot={}", request.request, place.0, place.1, place.2);
+                refuse(&mut self.refused, now, place);
+                true
+            }
+            (CloudCall::Rent(_), 400) => true,
+            (CloudCall::Return(ids), 200) => {
+                for id in ids {
+                    self.returning.remove(id);
+                    self.booting.remove(id);
+                    self.gone.insert(*id);
+                }
+                out.push(Event::Returned(ids.clone()));
+                true
+            }
+            (CloudCall::List(_), 200) => {
+                if let Some(list) = reply.parse::<MachineList>() {
+                    let more = list.machines.last().filter(|_| list.more).map(|m| m.machine.clone());
+                    self.in_flight.remove(&id);
+                    self.listed(now, list, known, out);
+                    if more.is_some() {
+                        self.call(now, CloudCall::List(more), out);
+                    }
+                    return;
+                }
+                true
+            }
+            (CloudCall::List(_), _) => true,
+            _ => false,
+        };
+        if done {
+            self.in_flight.remove(&id);
+        } else {
+            flight.retry_at = Some(now + Span(700));
+        }
+    }
+
+    fn listed(&mut self, now: Time, list: MachineList, known: &dyn Fn(MachineId) -> bool, out: &mut Vec<Event>) {
+        for item in list.machines {
+            let Ok(id) = item.machine.parse::<MachineId>() else { continue };
+            if self.gone.contains(&id) || self.returning.contains(&id) {
+                continue;
+            }
+            match item.state.as_str() {
+                "failed" => out.push(Event::Failed(id)),
+                // One that an earlier leader rented, or a late copy of a rental: used or returned.
+                _ if !known(id) && !self.booting.contains_key(&id) => {
+                    info!("found machine={id} type={} zone={} in the cloud's list", item.kind, item.zone);
+                    let age = Span::secs(item.age_s) + self.list_lag;
+                    let since = Time(now.0.saturating_sub(age.0));
+                    self.booting.insert(id, Booting { kind: item.kind, zone: item.zone, spot: item.spot, since });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Machines that should have reported long ago are given back: some never come up.
+    pub fn give_up_on_late(&mut self, now: Time) {
+        let late: Vec<MachineId> = self
+            .booting()
+            .filter(|(_, b)| {
+                let boot = self.flavor(&b.kind).map_or(60.0, |f| f.boot_s);
+                now.since(b.since) > Span::secs(boot * 3.0 + 15.0)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.give_back(id, "did not come up");
+        }
+    }
+}
+
+impl std::ops::Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+fn refuse(refused: &mut HashMap<Place, (Time, Span)>, now: Time, place: Place) {
+    let pause = refused.get(&place).map_or(Span(5000), |(_, last)| Span((last.0 * 2).min(30_000)));
+    refused.insert(place, (now + pause, pause));
+}
+
+/// Like tasks that wait for machines.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    /// What each takes.
+    pub need: Room,
+    /// How many.
+    pub count: u32,
+    /// Whether spot machines will do.
+    pub spot: bool,
+    /// Allowed types.
+    pub types: Option<Vec<String>>,
+    /// Allowed zone.
+    pub zone: Option<String>,
+    /// Most of them in one zone.
+    pub zone_cap: u32,
+}
+
+/// Which machines to rent for what waits: the cheapest per task, spread over zones.
+///
+/// `zones` counts the ordinary CPUs per zone that there are already.
+pub fn choose(
+    demands: &[Demand],
+    flavors: &[Flavor],
+    refused: &dyn Fn(&Place) -> bool,
+    zones: &mut BTreeMap<String, u64>,
+) -> BTreeMap<Place, u32> {
+    let mut bought: Vec<(Place, Room)> = Vec::new();
+    for demand in demands {
+        let mut left = demand.count;
+        let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
+        let allowed = |place: &Place| {
+            (demand.spot || !place.2)
+                && demand.zone.as_ref().is_none_or(|z| *z == place.1)
+                && demand.types.as_ref().is_none_or(|t| t.contains(&place.0))
+        };
+        for (place, free) in &mut bought {
+            while left > 0 && allowed(place) && demand.need.fits(free) {
+                let used = per_zone.entry(place.1.clone()).or_insert(0);
+                if *used >= demand.zone_cap {
+                    break;
+                }
+                *used += 1;
+                free.sub(&demand.need);
+                left -= 1;
+            }
+        }
+        while left > 0 {
+            let mut best: Option<((u64, u64), Place, Room, u32)> = None;
+            for flavor in flavors {
+                let room = crate::intake::capacity(flavor);
+                let fit = demand.need.times_in(&room).min(u64::from(u32::MAX)) as u32;
+                for zone in &flavor.zones {
+                    for spot in [true, false] {
+                        let place = (flavor.name.clone(), zone.clone(), spot);
+                        let used = per_zone.get(zone).copied().unwrap_or(0);
+                        let take = fit.min(left).min(demand.zone_cap.saturating_sub(used));
+                        if take == 0 || !allowed(&place) || refused(&place) {
+                            continue;
+                        }
+                        let price = if spot { flavor.spot_price } else { flavor.price };
+                        let cost = (price / f64::from(take) * 1e6) as u64;
+                        let key = (cost, if spot { 0 } else { zones.get(zone).copied().unwrap_or(0) });
+                        if best.as_ref().is_none_or(|(other, ..)| key < *other) {
+                            best = Some((key, place, room, take));
+                        }
+                    }
+                }
+            }
+            let Some((_, place, room, take)) = best else { break };
+            let mut free = room;
+            for _ in 0..take {
+                free.sub(&demand.need);
+            }
+            left -= take;
+            *per_zone.entry(place.1.clone()).or_insert(0) += take;
+            if !place.2 {
+                *zones.entry(place.1.clone()).or_insert(0) += room.cpus;
+            }
+            bought.push((place, free));
+            if bought.len() >= 200 {
+                break;
+            }
+        }
+    }
+    let mut counts = BTreeMap::new();
+    for (place, _) in bought {
+        *counts.entry(place).or_insert(0) += 1;
+    }
+    counts
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn reply(status: u16, body: serde_json::Value) -> Reply {
+        Reply { status, body: body.to_string().into() }
+    }
+
+    #[test]
+    fn a_rental_without_answer_is_repeated_under_its_name() {
+        let limits = CloudLimits { rps: 6.0, list_lag_s: 8.0 };
+        let mut fleet = Fleet::new(Token(41), Time(1), &limits);
+        let mut out = Vec::new();
+        fleet.rent(Time(1), &("small".into(), "a".into(), true), 3, &mut out);
+        let names = |out: &mut Vec<Event>| -> Vec<(u64, String)> {
+            out.drain(..)
+                .filter_map(|e| match e {
+                    Event::Call(id, CloudCall::Rent(r)) => Some((id, r.request)),
+                    _ => None,
+                })
+                .collect()
+        };
+        let first = names(&mut out);
+        fleet.tick(Time(5100), &mut out);
+        let second = names(&mut out);
+        assert_eq!((first[0].1.as_str(), second[0].1.as_str()), ("r-41-1", "r-41-1"));
+        fleet.reply(Time(5200), second[0].0, &reply(200, json!({"Hosts": ["m-000007"]})), &|_| false, &mut out);
+        assert_eq!(fleet.booting().map(|(id, _)| *id).collect::<Vec<_>>(), [MachineId(7)]);
+        assert!(fleet.refused(&("small".into(), "a".into(), true), Time(6000)), "only partly filled");
+    }
+
+    #[test]
+    fn like_tasks_are_bought_for_as_a_class_and_spread() {
+        let flavors = [crate::intake::tests::flavor()];
+        let demand = Demand {
+            need: Room { cpus: 1000, gpus: 0, memory: 3200 },
+            count: 3,
+            spot: false,
+            types: None,
+            zone: None,
+            zone_cap: 2,
+        };
+        let got = choose(&[demand], &flavors, &|_| false, &mut BTreeMap::new());
+        let shown: Vec<_> = got.iter().map(|(p, n)| (p.1.as_str(), p.2, *n)).collect();
+        assert_eq!(shown, [("a", false, 1), ("b", false, 1)]);
+    }
+}
--- /dev/null
+++ b/src/leadership.rs
@@ -0,0 +1,376 @@
+//! Who leads: one key of the state service, held by a lease.
+//!
+//! The token is the revision at which the key was won, so it grows and never repeats. The key's
+//! value names the node and a random incarnation: a node whose election got no answer settles it
+//! by reading the key, and a restarted node replaces its own dead predecessor's key at once.
+
+use crate::store::{Reply, StateCall, condition};
+use crate::units::{LeaseId, Revision, Span, Time, Token};
+use crate::wire::{Change, KeyValue, LeaseAnswer, Txn, TxnAnswer};
+use log::info;
+use rand::{Rng, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
+
+/// The key that the leader holds.
+pub const LEADER_KEY: &str = "leader";
+
+/// What the leader's key says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// Node.
+    pub node: String,
+    /// One run of that node's process.
+    pub incarnation: u64,
+}
+
+/// What the slice wants done or made known.
+#[derive(Debug, PartialEq)]
+pub enum Event {
+    /// Ask the state service; the number comes back with the reply.
+    Call(u64, StateCall),
+    /// This node leads from now on.
+    Elected(Token),
+    /// This node no longer leads.
+    SteppedDown(&'static str),
+    /// Another node leads, as far as is known; `None`: nobody.
+    Leader(Option<String>),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Look,
+    Grant,
+    Campaign,
+    Renew,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct InFlight {
+    id: u64,
+    kind: Kind,
+    sent: Time,
+}
+
+/// State of the slice.
+#[derive(Debug)]
+pub struct Leadership {
+    me: Holder,
+    ttl: Span,
+    rng: SmallRng,
+    calls: u64,
+    in_flight: Option<InFlight>,
+    next: Time,
+    lease: Option<(LeaseId, Time)>,
+    /// The key's version to replace when campaigning; 0: the key must not exist.
+    replace: u64,
+    /// Set while an election without answer is settled: the key names us at this revision.
+    claimed: Option<Revision>,
+    token: Option<Token>,
+    valid_until: Time,
+    known: Option<String>,
+    /// When the state service answered last.
+    pub answered: Option<Time>,
+}
+
+/// Clocks differ by 0.05 %, and a process may be late; this much of the lease is not relied on.
+const MARGIN: Span = Span(200);
+const CALL_TIMEOUT: Span = Span(1000);
+
+impl Leadership {
+    /// A node that has just started.
+    pub fn new(node: &str, incarnation: u64, ttl: Span, rng: SmallRng) -> Self {
+        Leadership {
+            me: Holder { node: node.to_string(), incarnation },
+            ttl,
+            rng,
+            calls: 0,
+            in_flight: None,
+            next: Time(0),
+            lease: None,
+            replace: 0,
+            claimed: None,
+            token: None,
+            valid_until: Time(0),
+            known: None,
+            answered: None,
+        }
+    }
+
+    /// The token, while this node leads (perhaps in doubt).
+    pub fn token(&self) -> Option<Token> {
+        self.token
+    }
+
+    /// Whether no other node can have been elected yet, by this node's own clock.
+    pub fn certain(&self, now: Time) -> bool {
+        self.token.is_some() && now < self.valid_until
+    }
+
+    /// The leader's name as far as is known.
+    pub fn leader(&self) -> Option<&str> {
+        if self.token.is_some() { Some(&self.me.node) } else { self.known.as_deref() }
+    }
+
+    /// Look at the key soon, because the leader's link broke.
+    pub fn hurry(&mut self, now: Time) {
+        if self.token.is_none() {
+            self.next = self.next.min(now + Span(20));
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Event>) {
+        if let Some(call) = self.in_flight {
+            if now.since(call.sent) < CALL_TIMEOUT {
+                return;
+            }
+            self.in_flight = None;
+            self.failed(now, call.kind);
+        }
+        if now < self.next {
+            return;
+        }
+        if self.token.is_some() || self.claimed.is_some() {
+            self.renew(now, out);
+        } else {
+            self.call(now, Kind::Look, StateCall::Get(LEADER_KEY.into()), out);
+        }
+    }
+
+    fn renew(&mut self, now: Time, out: &mut Vec<Event>) {
+        match self.lease {
+            Some((lease, _)) => self.call(now, Kind::Renew, StateCall::Renew(lease), out),
+            None => self.step_down(now, "no lease", out),
+        }
+    }
+
+    fn call(&mut self, now: Time, kind: Kind, call: StateCall, out: &mut Vec<Event>) {
+        self.calls += 1;
+        self.in_flight = Some(InFlight { id: self.calls, kind, sent: now });
+        out.push(Event::Call(self.calls, call));
+    }
+
+    fn pause(&mut self, low: u64, high: u64) -> Span {
+        Span(self.rng.random_range(low..=high))
+    }
+
+    fn failed(&mut self, now: Time, kind: Kind) {
+        // A renewal is urgent; everything else waits with jitter, so that nodes do not march in step.
+        let pause = if kind == Kind::Renew { Span(150) } else { self.pause(200, 500) };
+        self.next = now + pause;
+    }
+
+    /// Gives the leadership up.
+    pub fn step_down(&mut self, now: Time, why: &'static str, out: &mut Vec<Event>) {
+        self.claimed = None;
+        self.lease = None;
+        self.in_flight = None;
+        if let Some(token) = self.token.take() {
+            info!("stepped down token={token} reason=\"{why}\"");
+            out.push(Event::SteppedDown(why));
+        }
+        self.next = now + self.pause(50, 150);
+    }
+
+    /// Takes an answer of the state service.
+    pub fn reply(&mut self, now: Time, id: u64, reply: &Reply, out: &mut Vec<Event>) {
+        let Some(call) = self.in_flight.filter(|c| c.id == id) else { return };
+        self.in_flight = None;
+        if matches!(reply.status, 200 | 404 | 409) {
+            self.answered = Some(now);
+        }
+        match (call.kind, reply.status) {
+            (Kind::Look, 200) => match reply.parse::<KeyValue>() {
+                Some(kv) => self.saw(now, kv, out),
+                None => self.failed(now, call.kind),
+            },
+            (Kind::Look, 404) => {
+                self.set_known(None, out);
+                self.campaign(now, 0, out);
+            }
+            (Kind::Grant, 200) => match reply.parse::<LeaseAnswer>() {
+                Some(answer) => {
+                    self.lease = Some((LeaseId(answer.lease), call.sent));
+                    self.campaign(now, self.replace, out);
+                }
+                None => self.failed(now, call.kind),
+            },
+            (Kind::Campaign, 200) => match (reply.parse::<TxnAnswer>(), self.lease) {
+                (Some(answer), Some((_, granted))) => {
+                    self.valid_until = granted + Span(self.ttl.0.saturating_sub(MARGIN.0));
+                    self.elected(now, Revision(answer.revision), out);
+                }
+                _ => self.failed(now, call.kind),
+            },
+            (Kind::Campaign, 409) => self.next = now,
+            (Kind::Campaign, 400) => {
+                self.lease = None;
+                self.next = now + self.pause(20, 80);
+            }
+            (Kind::Renew, 200) => {
+                self.valid_until = call.sent + Span(self.ttl.0.saturating_sub(MARGIN.0));
+                match self.claimed.take() {
+                    Some(revision) => self.elected(now, revision, out),
+                    None => self.next = now + Span(self.ttl.0 / 4),
+                }
+            }
+            (Kind::Renew, 404) => self.step_down(now, "lease lost", out),
+            _ => self.failed(now, call.kind),
+        }
+    }
+
+    /// The key exists: it is ours, our predecessor's, or another node's.
+    fn saw(&mut self, now: Time, kv: KeyValue, out: &mut Vec<Event>) {
+        let Ok(holder) = serde_json::from_value::<Holder>(kv.value) else {
+            return self.failed(now, Kind::Look);
+        };
+        if holder == self.me {
+            // An election whose answer was lost. Only the lease that we still hold counts: a late
+            // copy of an older attempt hangs on a lease that nobody renews, and ends by itself.
+            if let Some((lease, _)) = self.lease
+                && kv.lease == Some(lease.0)
+            {
+                self.claimed = Some(Revision(kv.version));
+                return self.renew(now, out);
+            }
+            self.next = now + self.pause(100, 200);
+        } else if holder.node == self.me.node {
+            info!("replacing the key of this node's earlier incarnation revision={}", kv.version);
+            self.campaign(now, kv.version, out);
+        } else {
+            self.set_known(Some(holder.node), out);
+            self.next = now + self.pause(300, 450);
+        }
+    }
+
+    fn set_known(&mut self, known: Option<String>, out: &mut Vec<Event>) {
+        if self.known != known {
+            self.known.clone_from(&known);
+            out.push(Event::Leader(known));
+        }
+    }
+
+    fn campaign(&mut self, now: Time, replace: u64, out: &mut Vec<Event>) {
+        self.replace = replace;
+        let fresh = self.lease.filter(|(_, granted)| now.since(*granted).0 < self.ttl.0 / 4);
+        let Some((lease, _)) = fresh else {
+            self.lease = None;
+            return self.call(now, Kind::Grant, StateCall::Grant(self.ttl), out);
+        };
+        let txn = Txn {
+            conditions: vec![condition(LEADER_KEY, Revision(replace))],
+            changes: vec![Change::Put {
+                key: LEADER_KEY.into(),
+                value: serde_json::to_value(&self.me).unwrap_or_default(),
+                lease: Some(lease.0),
+            }],
+        };
+        self.call(now, Kind::Campaign, StateCall::Txn(txn), out);
+    }
+
+    fn elected(&mut self, now: Time, revision: Revision, out: &mut Vec<Event>) {
+        let token = Token(revision.0);
+        self.token = Some(token);
+        self.claimed = None;
+        self.known = None;
+        self.next = now;
+        info!("elected node={} token={token}", self.me.node);
+        out.push(Event::Elected(token));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+    use serde_json::json;
+
+    fn node(name: &str, incarnation: u64) -> Leadership {
+        Leadership::new(name, incarnation, Span(2500), SmallRng::seed_from_u64(1))
+    }
+
+    fn only_call(out: &mut Vec<Event>) -> (u64, StateCall) {
+        match out.drain(..).next_back() {
+            Some(Event::Call(id, call)) => (id, call),
+            other => panic!("no call but {other:?}"),
+        }
+    }
+
+    fn answer(status: u16, body: serde_json::Value) -> Reply {
+        Reply { status, body: body.to_string().into() }
+    }
+
+    #[test]
+    fn an_election_whose_answer_is_lost_is_settled_by_reading_the_key() {
+        let (mut n, mut out) = (node("n0", 7), Vec::new());
+        n.tick(Time(0), &mut out);
+        let (id, _) = only_call(&mut out);
+        n.reply(Time(5), id, &answer(404, json!({"Ledger": 3})), &mut out);
+        let (id, call) = only_call(&mut out);
+        assert_eq!(call, StateCall::Grant(Span(2500)));
+        n.reply(Time(10), id, &answer(200, json!({"Permit": 4})), &mut out);
+        assert!(matches!(only_call(&mut out).1, StateCall::Txn(_)));
+        n.tick(Time(1100), &mut out); // no answer
+        n.tick(Time(1700), &mut out);
+        let (id, call) = only_call(&mut out);
+        assert_eq!(call, StateCall::Get(LEADER_KEY.into()));
+        let key = json!({"K": "leader", "V": {"node": "n0", "incarnation": 7}, "Stamp": 9, "Permit": 4});
+        n.reply(Time(1705), id, &answer(200, key), &mut out);
+        let (id, call) = only_call(&mut out);
+        assert_eq!(call, StateCall::Renew(LeaseId(4)));
+        assert_eq!(n.token(), None, "not before the lease is known to live");
+        n.reply(Time(1710), id, &answer(200, json!({})), &mut out);
+        assert_eq!(out, [Event::Elected(Token(9))]);
+        assert!(n.certain(Time(4000)) && !n.certain(Time(4010)));
+    }
+
+    #[test]
+    fn a_late_copy_of_an_election_under_an_older_lease_does_not_count() {
+        let (mut n, mut out) = (node("n0", 7), Vec::new());
+        n.tick(Time(0), &mut out);
+        let (id, _) = only_call(&mut out);
+        let key = json!({"K": "leader", "V": {"node": "n0", "incarnation": 7}, "Stamp": 9, "Permit": 4});
+        n.reply(Time(5), id, &answer(200, key), &mut out);
+        assert_eq!((n.token(), out.len()), (None, 0));
+    }
+
+    #[test]
+    fn a_restarted_node_replaces_its_own_key_and_leaves_others_alone() {
+        let (mut n, mut out) = (node("n0", 8), Vec::new());
+        n.tick(Time(0), &mut out);
+        let (id, _) = only_call(&mut out);
+        let key = json!({"K": "leader", "V": {"node": "n0", "incarnation": 7}, "Stamp": 9, "Permit": 4});
+        n.reply(Time(5), id, &answer(200, key), &mut out);
+        let (id, _) = only_call(&mut out);
+        n.reply(Time(6), id, &answer(200, json!({"Permit": 5})), &mut out);
+        let (id, call) = only_call(&mut out);
+        let StateCall::Txn(txn) = call else { panic!("{call:?}") };
+        assert_eq!(txn.conditions[0].version, 9);
+        n.reply(Time(7), id, &answer(409, json!({"failed": ["leader"], "Ledger": 10})), &mut out);
+        n.tick(Time(8), &mut out);
+        let (id, _) = only_call(&mut out);
+        let key = json!({"K": "leader", "V": {"node": "n1", "incarnation": 1}, "Stamp": 10, "Permit": 6});
+        n.reply(Time(9), id, &answer(200, key), &mut out);
+        assert_eq!(out, [Event::Leader(Some("n1".into()))]);
+    }
+
+    #[test]
+    fn an_outage_leaves_the_leader_in_doubt_and_a_lost_lease_ends_it() {
+        let (mut n, mut out) = (node("n0", 7), Vec::new());
+        n.tick(Time(0), &mut out);
+        for body in [(404, json!({})), (200, json!({"Permit": 4})), (200, json!({"Ledger": 9}))] {
+            let id = n.in_flight.unwrap().id;
+            n.reply(Time(1), id, &answer(body.0, body.1), &mut out);
+        }
+        out.clear();
+        n.tick(Time(2), &mut out);
+        let (id, _) = only_call(&mut out);
+        n.reply(Time(3), id, &answer(503, json!({})), &mut out);
+        assert!(n.certain(Time(2000)) && !n.certain(Time(2400)));
+        assert_eq!(n.token(), Some(Token(9)), "in doubt it still leads");
+        n.tick(Time(30_000), &mut out);
+        let (id, _) = only_call(&mut out);
+        n.reply(Time(30_001), id, &answer(404, json!({})), &mut out);
+        assert_eq!(out, [Event::SteppedDown("lease lost")]);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! caperstile: a cluster scheduler that plans by deadline and priority.
+//!
+//! Inside a process the core is a state machine ([`controller`]): timed inputs go in, and what to
+//! send, write and answer comes out. Only [`runtime`] has sockets and clocks.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod cli;
+pub mod controller;
+pub mod fleet;
+pub mod intake;
+pub mod leadership;
+pub mod peers;
+pub mod plan;
+pub mod records;
+pub mod reign;
+pub mod runtime;
+mod scheduling;
+pub mod settings;
+pub mod store;
+pub mod units;
+pub mod wire;
+pub mod workers;
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,155 @@
+//! Between controllers: fixed layouts over one multiplexed link from each follower to the leader.
+//!
+//! A frame is a fixed header and a body of the length that the header tells. Followers send users'
+//! requests, the leader sends the answers back under the same number, in any order.
+
+use zerocopy::byteorder::little_endian::{U16, U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+/// Begins every frame; the last byte is the layout's version.
+pub const MAGIC: u32 = u32::from_le_bytes(*b"CPT\x01");
+/// Largest body of a frame: a user's body and a little more.
+pub const BODY_LIMIT: u32 = 68 * 1024;
+
+/// What a frame carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Kind {
+    /// `POST /work`.
+    Submit = 1,
+    /// `GET /work/{id}`.
+    Get = 2,
+    /// `POST /work/{id}/withdraw`.
+    Withdraw = 3,
+    /// An answer.
+    Answer = 4,
+}
+
+/// The fixed part of a frame, as it lies on the wire.
+#[derive(Debug, Clone, Copy, FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+pub struct Header {
+    /// `MAGIC`.
+    pub magic: U32,
+    /// Length of the body.
+    pub length: U32,
+    /// Number of the request.
+    pub id: U64,
+    /// Status of an answer.
+    pub status: U16,
+    /// Seconds after which the user may come back.
+    pub retry_after: U16,
+    /// What the frame carries.
+    pub kind: u8,
+    /// Zero.
+    pub reserved: [u8; 3],
+}
+
+/// Size of the header.
+pub const HEADER_BYTES: usize = size_of::<Header>();
+
+/// A user's request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum UserCall {
+    /// Submit a job: the body as it came.
+    Submit(Vec<u8>),
+    /// Ask for a job: the id as it came.
+    Get(String),
+    /// Cancel a job: the id as it came.
+    Withdraw(String),
+}
+
+/// An answer to a user or worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// `Retry-After`, 0: none.
+    pub retry_after: u16,
+    /// JSON.
+    pub body: String,
+}
+
+/// A frame.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Frame {
+    /// A user's request under a number.
+    Request(u64, UserCall),
+    /// The answer to the request with this number.
+    Answer(u64, Answer),
+}
+
+/// A frame that does not have the layout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("malformed frame from a peer")]
+pub struct BadFrame;
+
+impl Frame {
+    /// The bytes on the wire.
+    pub fn encode(&self) -> Vec<u8> {
+        let (kind, id, status, retry_after, body): (Kind, u64, u16, u16, &[u8]) = match self {
+            Frame::Request(id, UserCall::Submit(body)) => (Kind::Submit, *id, 0, 0, body),
+            Frame::Request(id, UserCall::Get(name)) => (Kind::Get, *id, 0, 0, name.as_bytes()),
+            Frame::Request(id, UserCall::Withdraw(name)) => (Kind::Withdraw, *id, 0, 0, name.as_bytes()),
+            Frame::Answer(id, a) => (Kind::Answer, *id, a.status, a.retry_after, a.body.as_bytes()),
+        };
+        let header = Header {
+            magic: U32::new(MAGIC),
+            length: U32::new(body.len() as u32),
+            id: U64::new(id),
+            status: U16::new(status),
+            retry_after: U16::new(retry_after),
+            kind: kind as u8,
+            reserved: [0; 3],
+        };
+        let mut bytes = Vec::with_capacity(HEADER_BYTES + body.len());
+        bytes.extend_from_slice(header.as_bytes());
+        bytes.extend_from_slice(body);
+        bytes
+    }
+
+    /// Reads a header; tells how long the body is.
+    pub fn header(bytes: &[u8; HEADER_BYTES]) -> Result<Header, BadFrame> {
+        let header = Header::read_from_bytes(bytes).map_err(|_| BadFrame)?;
+        if header.magic.get() != MAGIC || header.length.get() > BODY_LIMIT {
+            return Err(BadFrame);
+        }
+        Ok(header)
+    }
+
+    /// Puts header and body together.
+    pub fn decode(header: &Header, body: Vec<u8>) -> Result<Frame, BadFrame> {
+        let id = header.id.get();
+        let text = |body| String::from_utf8(body).map_err(|_| BadFrame);
+        Ok(match header.kind {
+            k if k == Kind::Submit as u8 => Frame::Request(id, UserCall::Submit(body)),
+            k if k == Kind::Get as u8 => Frame::Request(id, UserCall::Get(text(body)?)),
+            k if k == Kind::Withdraw as u8 => Frame::Request(id, UserCall::Withdraw(text(body)?)),
+            k if k == Kind::Answer as u8 => Frame::Answer(
+                id,
+                Answer { status: header.status.get(), retry_after: header.retry_after.get(), body: text(body)? },
+            ),
+            _ => return Err(BadFrame),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_keep_their_layout() {
+        let frame = Frame::Answer(7, Answer { status: 503, retry_after: 2, body: "{}".into() });
+        let bytes = frame.encode();
+        assert_eq!(bytes, b"CPT\x01\x02\0\0\0\x07\0\0\0\0\0\0\0\xf7\x01\x02\0\x04\0\0\0{}");
+        let header = Frame::header(bytes[..HEADER_BYTES].try_into().unwrap()).unwrap();
+        assert_eq!(Frame::decode(&header, bytes[HEADER_BYTES..].to_vec()), Ok(frame));
+        let mut wrong: [u8; HEADER_BYTES] = bytes[..HEADER_BYTES].try_into().unwrap();
+        wrong[7] = 0xff; // a length beyond the limit
+        assert!(Frame::header(&wrong).is_err());
+        wrong = bytes[..HEADER_BYTES].try_into().unwrap();
+        wrong[20] = 9;
+        assert!(Frame::decode(&Frame::header(&wrong).unwrap(), vec![]).is_err());
+    }
+}
--- /dev/null
+++ b/src/records.rs
@@ -0,0 +1,464 @@
+//! The durable log: what must outlive every process.
+//!
+//! Everything that became due since the last commit goes into one value, written on condition
+//! that the leader key still has the revision at which this node won it and that the entry does
+//! not exist. One commit is in flight; a repeat or a late copy changes nothing.
+
+use crate::intake::JobRecord;
+use crate::leadership::LEADER_KEY;
+use crate::store::{Reply, StateCall, condition};
+use crate::units::{EntryNo, JobId, MachineId, Ranges, Revision, Span, TaskId, Time, Token};
+use crate::wire::{Change, KeyPage, Txn, TxnAnswer};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// A machine as it is remembered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// Name.
+    #[serde(rename = "i")]
+    pub id: MachineId,
+    /// Where its worker takes commands.
+    #[serde(rename = "e")]
+    pub endpoint: String,
+    /// Type.
+    #[serde(rename = "k")]
+    pub kind: String,
+    /// Zone.
+    #[serde(rename = "z")]
+    pub zone: String,
+    /// Spot or ordinary.
+    #[serde(rename = "s")]
+    pub spot: bool,
+}
+
+/// One durable fact. Applying a fact twice is the same as applying it once.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    /// A job was accepted.
+    #[serde(rename = "j")]
+    Job(JobRecord),
+    /// Tasks of a job finished.
+    #[serde(rename = "d")]
+    Done(JobId, Ranges),
+    /// A job was cancelled.
+    #[serde(rename = "c")]
+    Cancelled(JobId),
+    /// A machine may get tasks from now on.
+    #[serde(rename = "m")]
+    Enrolled(MachineRecord),
+    /// A machine is gone for ever.
+    #[serde(rename = "g")]
+    Gone(MachineId),
+    /// Jobs that are over (snapshots only): those done with their number of tasks, those cancelled;
+    /// ids as differences from the one before.
+    #[serde(rename = "f")]
+    Finals(Vec<(u64, u32)>, Vec<u64>),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Manifest {
+    generation: String,
+    covers: EntryNo,
+}
+
+/// What the slice wants done or made known.
+#[derive(Debug, PartialEq)]
+pub enum Event {
+    /// Ask the state service; the number comes back with the reply.
+    Call(u64, StateCall),
+    /// A fact read back after an election.
+    Loaded(Record),
+    /// All facts were read back.
+    LoadDone,
+    /// These facts are durable now.
+    Durable(Vec<Record>),
+    /// The leader key has another revision: somebody else leads.
+    Deposed,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Purpose {
+    LoadSnapshot,
+    LoadLog,
+    Commit,
+    Snapshot,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    id: u64,
+    purpose: Purpose,
+    call: StateCall,
+    sent: Time,
+    retry_at: Option<Time>,
+}
+
+#[derive(Debug)]
+struct Snapshot {
+    steps: VecDeque<Vec<Change>>,
+}
+
+/// State of the slice; made anew at each election.
+#[derive(Debug)]
+pub struct Records {
+    token: Token,
+    value_bytes: usize,
+    txn_ops: usize,
+    commit_every: Span,
+    refill: f64,
+    budget: f64,
+    refilled: Time,
+    calls: u64,
+    loaded: bool,
+    manifest: Option<Manifest>,
+    /// Keys that no reader needs any more.
+    stray: Vec<String>,
+    /// Chunks of the snapshot in force; the next one makes them stray.
+    kept: Vec<String>,
+    chunks: Vec<(String, serde_json::Value)>,
+    next: EntryNo,
+    oldest: EntryNo,
+    queue: VecDeque<Record>,
+    committing: Vec<Record>,
+    in_flight: Vec<InFlight>,
+    last_commit: Time,
+    snapshot: Option<Snapshot>,
+    since_snapshot: u64,
+    snapshot_every: u64,
+    snapshots: u64,
+}
+
+const CALL_TIMEOUT: Span = Span(1500);
+const MANIFEST: &str = "snap/manifest";
+/// Bytes of a transaction that are not values, generously.
+const OVERHEAD: usize = 2048;
+const TXN_BYTES: usize = 64 * 1024 - OVERHEAD;
+
+fn log_key(no: EntryNo) -> String {
+    format!("log/{:012}", no.0)
+}
+
+impl Records {
+    /// Begins to read back what earlier leaders wrote.
+    pub fn new(
+        token: Token,
+        now: Time,
+        limits: &crate::settings::StateLimits,
+        tuning: &crate::settings::Tuning,
+    ) -> Records {
+        Records {
+            token,
+            value_bytes: ((limits.value_kb * 1024.0) as usize).saturating_sub(64).min(TXN_BYTES - OVERHEAD),
+            txn_ops: limits.txn_ops,
+            commit_every: tuning.commit_every,
+            // A part is left to the other nodes' elections.
+            refill: limits.write_rps * 0.75,
+            budget: limits.write_rps * 0.5,
+            refilled: now,
+            calls: 0,
+            loaded: false,
+            manifest: None,
+            stray: Vec::new(),
+            kept: Vec::new(),
+            chunks: Vec::new(),
+            next: EntryNo(1),
+            oldest: EntryNo(1),
+            queue: VecDeque::new(),
+            committing: Vec::new(),
+            in_flight: Vec::new(),
+            last_commit: Time(0),
+            snapshot: None,
+            since_snapshot: 0,
+            snapshot_every: tuning.snapshot_every,
+            snapshots: 0,
+        }
+    }
+
+    /// Whether everything was read back.
+    pub fn loaded(&self) -> bool {
+        self.loaded
+    }
+
+    /// How many facts wait to become durable.
+    pub fn backlog(&self) -> usize {
+        self.queue.len() + self.committing.len()
+    }
+
+    /// Queues a fact for the next commit.
+    pub fn push(&mut self, record: Record) {
+        self.queue.push_back(record);
+    }
+
+    /// Queues the finish of a task; finishes of one job share a record.
+    pub fn push_done(&mut self, task: TaskId) {
+        for record in self.queue.iter_mut().rev().take(64) {
+            match record {
+                Record::Done(job, tasks) if *job == task.job && tasks.parts() < 200 => {
+                    tasks.insert(task.index);
+                    return;
+                }
+                _ => {}
+            }
+        }
+        let mut tasks = Ranges::default();
+        tasks.insert(task.index);
+        self.queue.push_back(Record::Done(task.job, tasks));
+    }
+
+    /// Begins reading.
+    pub fn start(&mut self, now: Time, out: &mut Vec<Event>) {
+        self.call(now, Purpose::LoadSnapshot, StateCall::Scan { prefix: "snap/".into(), after: None }, out);
+    }
+
+    fn call(&mut self, now: Time, purpose: Purpose, call: StateCall, out: &mut Vec<Event>) {
+        self.calls += 1;
+        self.in_flight.push(InFlight { id: self.calls, purpose, call: call.clone(), sent: now, retry_at: None });
+        out.push(Event::Call(self.calls, call));
+    }
+
+    fn busy(&self, purpose: &Purpose) -> bool {
+        self.in_flight.iter().any(|f| f.purpose == *purpose)
+    }
+
+    /// Whether a snapshot should be taken now; then `begin_snapshot` is called with the durable facts.
+    pub fn wants_snapshot(&self) -> bool {
+        self.loaded
+            && self.snapshot.is_none()
+            && self.committing.is_empty()
+            && self.since_snapshot >= self.snapshot_every
+    }
+
+    /// Lets time pass: repeats what got no answer, commits what is due.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Event>) {
+        let limit = self.refill.max(2.0);
+        self.budget = (self.budget + now.since(self.refilled).as_secs() * self.refill).min(limit);
+        self.refilled = now;
+        for i in 0..self.in_flight.len() {
+            let flight = &mut self.in_flight[i];
+            let due = match flight.retry_at {
+                Some(at) => now >= at,
+                None => now.since(flight.sent) >= CALL_TIMEOUT,
+            };
+            if due {
+                self.calls += 1;
+                flight.id = self.calls;
+                flight.sent = now;
+                flight.retry_at = None;
+                out.push(Event::Call(self.calls, flight.call.clone()));
+            }
+        }
+        if !self.loaded {
+            return;
+        }
+        if !self.queue.is_empty()
+            && !self.busy(&Purpose::Commit)
+            && now.since(self.last_commit) >= self.commit_every
+            && self.budget >= 1.0
+        {
+            self.commit(now, out);
+        }
+        if self.busy(&Purpose::Snapshot) {
+            return;
+        }
+        match self.snapshot.as_ref().map(|s| s.steps.front().cloned()) {
+            // Commits go first: three changes stay free for them.
+            Some(Some(step)) if self.budget >= (step.len() + 3).min(limit as usize) as f64 => {
+                self.budget -= step.len() as f64;
+                let txn = self.txn(step);
+                self.call(now, Purpose::Snapshot, StateCall::Txn(txn), out);
+            }
+            Some(None) => self.snapshot = None,
+            _ => {}
+        }
+    }
+
+    fn txn(&self, changes: Vec<Change>) -> Txn {
+        Txn { conditions: vec![condition(LEADER_KEY, Revision(self.token.0))], changes }
+    }
+
+    fn commit(&mut self, now: Time, out: &mut Vec<Event>) {
+        let mut size = 2;
+        let mut values = Vec::new();
+        while let Some(record) = self.queue.front() {
+            let value = serde_json::to_value(record).unwrap_or_default();
+            let bytes = value.to_string().len() + 1;
+            if !values.is_empty() && size + bytes > self.value_bytes {
+                break;
+            }
+            size += bytes;
+            values.push(value);
+            self.committing.extend(self.queue.pop_front());
+        }
+        let key = log_key(self.next);
+        let mut txn = self.txn(vec![Change::Put { key: key.clone(), value: values.into(), lease: None }]);
+        txn.conditions.push(condition(&key, Revision(0)));
+        self.last_commit = now;
+        self.budget -= 1.0;
+        self.call(now, Purpose::Commit, StateCall::Txn(txn), out);
+    }
+
+    /// Takes an answer of the state service.
+    pub fn reply(&mut self, now: Time, id: u64, reply: &Reply, out: &mut Vec<Event>) {
+        let Some(at) = self.in_flight.iter().position(|f| f.id == id) else { return };
+        let purpose = self.in_flight[at].purpose.clone();
+        let ok = match (&purpose, reply.status) {
+            (Purpose::LoadSnapshot | Purpose::LoadLog, 200) => match reply.parse::<KeyPage>() {
+                Some(page) => {
+                    self.in_flight.remove(at);
+                    self.page(now, purpose, page, out);
+                    true
+                }
+                None => false,
+            },
+            (Purpose::Commit | Purpose::Snapshot, 200) => {
+                self.in_flight.remove(at);
+                self.done(now, &purpose, out);
+                true
+            }
+            (Purpose::Commit | Purpose::Snapshot, 409) => {
+                let failed = reply.parse::<TxnAnswer>().unwrap_or_default().failed;
+                self.in_flight.remove(at);
+                if failed.iter().any(|k| k == LEADER_KEY) || failed.is_empty() {
+                    out.push(Event::Deposed);
+                } else {
+                    // Only this node writes under its token, so the entry is our own earlier try
+                    // whose answer was lost.
+                    self.done(now, &purpose, out);
+                }
+                true
+            }
+            _ => false,
+        };
+        if !ok && let Some(flight) = self.in_flight.get_mut(at) {
+            flight.retry_at = Some(now + if reply.status == 0 { Span(50) } else { Span(250) });
+        }
+    }
+
+    fn done(&mut self, now: Time, purpose: &Purpose, out: &mut Vec<Event>) {
+        if *purpose == Purpose::Commit {
+            self.next = EntryNo(self.next.0 + 1);
+            self.since_snapshot += 1;
+            out.push(Event::Durable(std::mem::take(&mut self.committing)));
+            self.tick(now, out);
+        } else if let Some(snapshot) = &mut self.snapshot {
+            snapshot.steps.pop_front();
+        }
+    }
+
+    fn page(&mut self, now: Time, purpose: Purpose, page: KeyPage, out: &mut Vec<Event>) {
+        let last = page.items.last().map(|kv| kv.key.clone());
+        for kv in page.items {
+            match purpose {
+                Purpose::LoadSnapshot if kv.key == MANIFEST => {
+                    self.manifest = serde_json::from_value(kv.value).ok();
+                }
+                Purpose::LoadSnapshot => self.chunks.push((kv.key, kv.value)),
+                _ => {
+                    let no = kv.key.strip_prefix("log/").and_then(|n| n.parse().ok()).unwrap_or(0);
+                    self.next = self.next.max(EntryNo(no + 1));
+                    if self.manifest.as_ref().is_some_and(|m| no <= m.covers.0) {
+                        self.stray.push(kv.key);
+                    } else {
+                        self.since_snapshot += 1;
+                        tell(kv.value, out);
+                    }
+                }
+            }
+        }
+        let prefix = if purpose == Purpose::LoadSnapshot { "snap/" } else { "log/" };
+        if page.more && last.is_some() {
+            return self.call(now, purpose, StateCall::Scan { prefix: prefix.into(), after: last }, out);
+        }
+        if purpose == Purpose::LoadSnapshot {
+            // Chunks of a generation that no manifest names were left by a crash in mid-snapshot.
+            let kept = self.manifest.as_ref().map(|m| format!("snap/{}/", m.generation));
+            for (key, value) in std::mem::take(&mut self.chunks) {
+                match &kept {
+                    Some(kept) if key.starts_with(kept.as_str()) => {
+                        tell(value, out);
+                        self.kept.push(key);
+                    }
+                    _ => self.stray.push(key),
+                }
+            }
+            if let Some(manifest) = &self.manifest {
+                self.next = EntryNo(manifest.covers.0 + 1);
+            }
+            return self.call(now, Purpose::LoadLog, StateCall::Scan { prefix: "log/".into(), after: None }, out);
+        }
+        self.oldest = self.manifest.as_ref().map_or(EntryNo(1), |m| EntryNo(m.covers.0 + 1));
+        self.loaded = true;
+        if !self.stray.is_empty() {
+            let steps = removals(std::mem::take(&mut self.stray), self.step_ops());
+            self.snapshot = Some(Snapshot { steps });
+        }
+        out.push(Event::LoadDone);
+    }
+
+    /// Changes per transaction of a snapshot: few, so that commits are not held up.
+    fn step_ops(&self) -> usize {
+        self.txn_ops.min(8).min((self.refill as usize).saturating_sub(3).max(1))
+    }
+
+    /// Writes a snapshot of the durable facts: chunks first, then the manifest, then the removal
+    /// of what it covers. Cut off at any step, the state stays readable.
+    pub fn begin_snapshot(&mut self, facts: impl Iterator<Item = Record>) {
+        self.snapshots += 1;
+        let generation = format!("{}-{}", self.token, self.snapshots);
+        let covers = EntryNo(self.next.0 - 1);
+        let mut chunks: Vec<Vec<serde_json::Value>> = Vec::new();
+        let mut size = usize::MAX;
+        for fact in facts {
+            let value = serde_json::to_value(&fact).unwrap_or_default();
+            let bytes = value.to_string().len() + 1;
+            if size.saturating_add(bytes) > self.value_bytes {
+                chunks.push(Vec::new());
+                size = 2;
+            }
+            size += bytes;
+            if let Some(chunk) = chunks.last_mut() {
+                chunk.push(value);
+            }
+        }
+        let keys: Vec<String> = (0..chunks.len()).map(|i| format!("snap/{generation}/{i:06}")).collect();
+        let puts = keys.iter().zip(chunks).map(|(key, chunk)| Change::Put {
+            key: key.clone(),
+            value: chunk.into(),
+            lease: None,
+        });
+        let per_step = self.step_ops().min(TXN_BYTES / self.value_bytes).max(1);
+        let mut steps: VecDeque<Vec<Change>> = VecDeque::new();
+        for put in puts {
+            match steps.back_mut() {
+                Some(step) if step.len() < per_step => step.push(put),
+                _ => steps.push_back(vec![put]),
+            }
+        }
+        let manifest = Manifest { generation, covers };
+        steps.push_back(vec![Change::Put {
+            key: MANIFEST.into(),
+            value: serde_json::to_value(&manifest).unwrap_or_default(),
+            lease: None,
+        }]);
+        let mut old: Vec<String> = (self.oldest.0..=covers.0).map(|n| log_key(EntryNo(n))).collect();
+        old.append(&mut self.kept);
+        steps.extend(removals(old, self.step_ops()));
+        self.kept = keys;
+        self.oldest = self.next;
+        self.manifest = Some(manifest);
+        self.since_snapshot = 0;
+        self.snapshot = Some(Snapshot { steps });
+    }
+}
+
+fn removals(keys: Vec<String>, per_step: usize) -> VecDeque<Vec<Change>> {
+    keys.chunks(per_step).map(|keys| keys.iter().map(|key| Change::Delete { key: key.clone() }).collect()).collect()
+}
+
+fn tell(value: serde_json::Value, out: &mut Vec<Event>) {
+    match serde_json::from_value::<Vec<Record>>(value) {
+        Ok(records) => out.extend(records.into_iter().map(Event::Loaded)),
+        Err(e) => log::error!("a log entry cannot be read: {e}"),
+    }
+}
--- /dev/null
+++ b/src/reign.rs
@@ -0,0 +1,809 @@
+//! What only the leader has: the slices put together for one token.
+
+use crate::controller::{Effect, Origin, Slot, accepted, unavailable};
+use crate::fleet::{self, Fleet};
+use crate::intake::{self, Applied, Final, JobBook, Refusal};
+use crate::peers::{Answer, UserCall};
+use crate::plan::{Correction, Plans};
+use crate::records::{self, MachineRecord, Record, Records};
+use crate::settings::Settings;
+use crate::store::Reply;
+use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskId, Time, Token, Wall};
+use crate::wire::{Cause, Commands, Report, ReportAnswer};
+use crate::workers::{self, Doubt, Enrolment, Flight, Machine, Phase};
+use log::{debug, info, warn};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Direct commands are given up after this time; they may still be executed later.
+const COMMAND_TIMEOUT: Span = Span(2500);
+/// How long a commit may take before its users are told to come back.
+const COMMIT_PATIENCE: Span = Span(1800);
+
+/// A user who waits for a commit.
+#[derive(Debug, Clone, Copy)]
+struct Waiter {
+    origin: Origin,
+    until: Time,
+}
+
+/// One node's time as leader.
+pub struct Reign {
+    pub(crate) settings: Settings,
+    token: Token,
+    pub(crate) since: Time,
+    records: Records,
+    pub(crate) book: JobBook,
+    pub(crate) machines: BTreeMap<MachineId, Machine>,
+    pub(crate) fleet: Fleet,
+    pub(crate) plans: Plans,
+    pub(crate) correction: Correction,
+    pub(crate) zones: Vec<String>,
+    /// Enrolled by an earlier leader and not known to have seen this token.
+    unfenced: BTreeSet<MachineId>,
+    opened: bool,
+    attempts: u64,
+    commands: u64,
+    accepting: HashMap<JobId, Vec<Waiter>>,
+    cancelling: HashMap<JobId, Vec<Waiter>>,
+    /// Finished attempts that may be reaped once their finish is durable.
+    finished: HashMap<TaskId, (MachineId, Attempt)>,
+    /// Started early because the plan may have changed.
+    pub(crate) dirty: bool,
+    pub(crate) scheduled: Time,
+    pub(crate) demanded: Time,
+    watched: Time,
+    over: Option<&'static str>,
+}
+
+impl Reign {
+    /// Begins a reign.
+    pub fn new(token: Token, now: Time, settings: &Settings) -> Reign {
+        Reign {
+            token,
+            since: now,
+            records: Records::new(token, now, &settings.deployment.state, &settings.tuning),
+            book: JobBook::default(),
+            machines: BTreeMap::new(),
+            fleet: Fleet::new(token, now, &settings.deployment.cloud),
+            plans: Plans::default(),
+            correction: Correction::default(),
+            zones: Vec::new(),
+            unfenced: BTreeSet::new(),
+            opened: false,
+            attempts: 0,
+            commands: 0,
+            accepting: HashMap::new(),
+            cancelling: HashMap::new(),
+            finished: HashMap::new(),
+            dirty: true,
+            scheduled: Time(0),
+            demanded: Time(0),
+            watched: now,
+            over: None,
+            settings: settings.clone(),
+        }
+    }
+
+    /// Reads back what is durable and asks the cloud for its machine types.
+    pub fn start(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut events = Vec::new();
+        self.records.start(now, &mut events);
+        self.recorded(now, Wall(0), events, out);
+        let mut events = Vec::new();
+        self.fleet.tick(now, &mut events);
+        self.hired(now, events, out);
+    }
+
+    /// The token of this reign.
+    pub fn token(&self) -> Token {
+        self.token
+    }
+    /// Whether everything durable was read back.
+    pub fn loaded(&self) -> bool {
+        self.records.loaded()
+    }
+    /// Why this reign is over, if it is.
+    pub fn over(&self) -> Option<&'static str> {
+        self.over
+    }
+    /// Whether every machine of earlier leaders was fenced or is gone, so that older jobs may start.
+    pub fn open(&self) -> bool {
+        self.unfenced.is_empty()
+    }
+    /// The job book.
+    pub fn book(&self) -> &JobBook {
+        &self.book
+    }
+    /// The machines.
+    pub fn machines(&self) -> impl Iterator<Item = &Machine> {
+        self.machines.values()
+    }
+
+    /// Those who wait for a commit are told to come back.
+    pub fn abdicate(self, out: &mut Vec<Effect>) {
+        for waiter in self.accepting.into_values().chain(self.cancelling.into_values()).flatten() {
+            out.push(Effect::Answer(waiter.origin, unavailable("the leader has changed")));
+        }
+    }
+
+    /// An attempt number that no leader has used or will use.
+    pub(crate) fn next_attempt(&mut self) -> Attempt {
+        self.attempts += 1;
+        Attempt((self.token.0 << 24) + self.attempts)
+    }
+
+    // ---- users ----
+
+    /// A user asks.
+    pub fn user(
+        &mut self,
+        now: Time,
+        wall: Wall,
+        certain: bool,
+        origin: Origin,
+        call: &UserCall,
+        out: &mut Vec<Effect>,
+    ) {
+        let answer = match call {
+            UserCall::Submit(body) => self.submit(now, wall, certain, origin, body),
+            UserCall::Get(id) => Some(self.get(certain, id)),
+            UserCall::Withdraw(id) => self.withdraw(now, certain, origin, id),
+        };
+        if let Some(answer) = answer {
+            out.push(Effect::Answer(origin, answer));
+        }
+        self.flush(now, out);
+    }
+
+    fn submit(&mut self, now: Time, wall: Wall, certain: bool, origin: Origin, body: &[u8]) -> Option<Answer> {
+        let parsed = intake::parse_job(body, wall);
+        // A known id is answered with its state, whatever else the body says.
+        let id = match &parsed {
+            Ok(record) => Some(record.id),
+            Err(_) => serde_json::from_slice::<serde_json::Value>(body)
+                .ok()
+                .and_then(|v| v.get("Ref").and_then(|r| r.as_str()).and_then(|r| r.parse().ok())),
+        };
+        if let Some(id) = id {
+            let accepted = self.book.ended(id).is_some() || self.book.get(id).is_some_and(|j| j.durable);
+            if accepted {
+                return Some(self.get(certain, &id.to_string()));
+            }
+        }
+        let record = match parsed {
+            Ok(record) => record,
+            Err(refusal) => return Some(refused(&refusal)),
+        };
+        if !certain {
+            // An older answer could be wrong: another leader may have accepted it by now.
+            return Some(unavailable("leadership is in doubt"));
+        }
+        let waiter = Waiter { origin, until: now + COMMIT_PATIENCE };
+        if self.book.get(record.id).is_some() {
+            self.accepting.entry(record.id).or_default().push(waiter);
+            return None;
+        }
+        let teams = &self.settings.deployment.teams;
+        if let Err(refusal) = intake::can_ever_run(&record, teams, self.fleet.flavors()) {
+            return Some(refused(&refusal));
+        }
+        self.accepting.entry(record.id).or_default().push(waiter);
+        self.records.push(Record::Job(record.clone()));
+        self.book.enter(record, now, true);
+        None
+    }
+
+    fn get(&self, certain: bool, id: &str) -> Answer {
+        let not_found = || Answer { status: 404, retry_after: 0, body: json!({"error": "no such job"}).to_string() };
+        let Ok(id) = id.parse::<JobId>() else { return not_found() };
+        // A durable final state never changes; all else may be outdated if another node leads.
+        if self.book.ended(id).is_none() && !certain {
+            return unavailable("leadership is in doubt");
+        }
+        if self.book.get(id).is_some_and(|j| !j.durable) {
+            return unavailable("not accepted yet");
+        }
+        match self.book.state(id) {
+            Some(state) => Answer { status: 200, retry_after: 0, body: state.to_string() },
+            None => not_found(),
+        }
+    }
+
+    fn withdraw(&mut self, now: Time, certain: bool, origin: Origin, id: &str) -> Option<Answer> {
+        let Ok(job_id) = id.parse::<JobId>() else {
+            return Some(Answer {
+                status: 400,
+                retry_after: 0,
+                body: json!({"error": "the id has the wrong form", "field": "Ref"}).to_string(),
+            });
+        };
+        if self.book.ended(job_id).is_some() {
+            return Some(self.get(certain, id));
+        }
+        if !certain {
+            return Some(unavailable("leadership is in doubt"));
+        }
+        let open = self.open();
+        let Some(job) = self.book.get_mut(job_id) else { return Some(self.get(certain, id)) };
+        if !job.durable {
+            return Some(unavailable("not accepted yet"));
+        }
+        if !open && !job.ours {
+            // A machine that has not seen this token may start its tasks by an earlier leader's word.
+            return Some(unavailable("not all machines are fenced yet"));
+        }
+        let waiter = Waiter { origin, until: now + COMMIT_PATIENCE };
+        self.cancelling.entry(job_id).or_default().push(waiter);
+        // With all tasks done its state will be `done` as soon as that is durable.
+        if !job.cancelling && job.done.len() < job.record.tasks {
+            job.cancelling = true;
+            self.plans.remove_job(job_id);
+            self.records.push(Record::Cancelled(job_id));
+        }
+        None
+    }
+
+    // ---- durable facts ----
+
+    /// The state service answered.
+    pub fn state(&mut self, now: Time, wall: Wall, certain: bool, id: u64, reply: &Reply, out: &mut Vec<Effect>) {
+        let mut events = Vec::new();
+        self.records.reply(now, id, reply, &mut events);
+        self.recorded(now, wall, events, out);
+        self.maybe_schedule(now, certain, out);
+    }
+
+    fn recorded(&mut self, now: Time, wall: Wall, events: Vec<records::Event>, out: &mut Vec<Effect>) {
+        for event in events {
+            match event {
+                records::Event::Call(id, call) => out.push(Effect::State(Slot::Records(self.token.0), id, call)),
+                records::Event::Loaded(record) => self.restore(now, wall, &record),
+                records::Event::LoadDone => {
+                    self.opened = self.unfenced.is_empty();
+                    info!(
+                        "loaded token={} jobs={} over={} machines={}",
+                        self.token,
+                        self.book.live().count(),
+                        self.book.finals(),
+                        self.machines.len()
+                    );
+                    for machine in self.machines.values_mut() {
+                        machine.wants_command = true;
+                    }
+                    self.flush(now, out);
+                }
+                records::Event::Durable(facts) => {
+                    for record in facts {
+                        self.durable(now, wall, &record, out);
+                    }
+                }
+                records::Event::Deposed => self.over = Some("the leader key has changed"),
+            }
+        }
+    }
+
+    fn restore(&mut self, now: Time, wall: Wall, record: &Record) {
+        match record {
+            Record::Enrolled(machine) => {
+                let mut m = Machine::new(machine.clone(), Room::default(), Enrolment::Durable, now);
+                m.wants_command = true;
+                self.unfenced.insert(machine.id);
+                self.machines.insert(machine.id, m);
+            }
+            Record::Gone(id) => {
+                self.unfenced.remove(id);
+                self.machines.remove(id);
+            }
+            other => {
+                self.book.apply(other, now, wall);
+            }
+        }
+    }
+
+    /// A fact of this reign became durable: now it may be told and acted on.
+    fn durable(&mut self, now: Time, wall: Wall, record: &Record, out: &mut Vec<Effect>) {
+        self.dirty = true;
+        match record {
+            Record::Enrolled(machine) => {
+                if let Some(m) = self.machines.get_mut(&machine.id) {
+                    m.enrolment = Enrolment::Durable;
+                }
+            }
+            Record::Gone(_) => {}
+            other => {
+                if let Record::Done(job, tasks) = other {
+                    for index in tasks.iter() {
+                        self.may_reap(TaskId { job: *job, index });
+                    }
+                }
+                match self.book.apply(other, now, wall) {
+                    Applied::Accepted(id) => {
+                        if let Some(job) = self.book.get(id) {
+                            debug!("accepted {id} class={} tasks={}", job.record.class, job.record.tasks);
+                            for waiter in self.accepting.remove(&id).unwrap_or_default() {
+                                out.push(Effect::Answer(waiter.origin, accepted(&job.record)));
+                            }
+                        }
+                    }
+                    Applied::Over(id, left) => self.job_over(now, id, &left, out),
+                    Applied::Nothing => {}
+                }
+            }
+        }
+    }
+
+    fn job_over(&mut self, now: Time, id: JobId, left: &[intake::Placed], out: &mut Vec<Effect>) {
+        info!("over {id} {}", if matches!(self.book.ended(id), Some(Final::Done(_))) { "done" } else { "cancelled" });
+        self.plans.remove_job(id);
+        for placed in left {
+            if let Some(machine) = self.machines.get_mut(&placed.machine) {
+                machine.stop(placed.attempt, 0.0);
+                if let Some(hold) = machine.holds.get_mut(&placed.attempt) {
+                    hold.claimed = false;
+                    hold.reapable = true;
+                }
+            }
+        }
+        let tasks: Vec<TaskId> = self.finished.keys().filter(|t| t.job == id).copied().collect();
+        for task in tasks {
+            self.may_reap(task);
+        }
+        let answer = self.get(true, &id.to_string());
+        for waiter in self.cancelling.remove(&id).unwrap_or_default() {
+            out.push(Effect::Answer(waiter.origin, answer.clone()));
+        }
+        self.flush(now, out);
+    }
+
+    fn may_reap(&mut self, task: TaskId) {
+        if let Some((machine, attempt)) = self.finished.remove(&task)
+            && let Some(hold) = self.machines.get_mut(&machine).and_then(|m| m.holds.get_mut(&attempt))
+        {
+            hold.reapable = true;
+        }
+    }
+
+    // ---- workers ----
+
+    /// A worker reports.
+    pub fn report(
+        &mut self,
+        now: Time,
+        wall: Wall,
+        certain: bool,
+        origin: Origin,
+        report: &Report,
+        out: &mut Vec<Effect>,
+    ) {
+        if report.token > self.token.0 {
+            self.over = Some("a worker has seen a higher token");
+            out.push(Effect::Answer(origin, unavailable("a newer leader exists")));
+            return;
+        }
+        let Ok(id) = report.machine.parse::<MachineId>() else {
+            let body = json!({"error": "the machine's name has the wrong form", "field": "Host"}).to_string();
+            out.push(Effect::Answer(origin, Answer { status: 400, retry_after: 0, body }));
+            return;
+        };
+        if self.fleet.is_gone(id) {
+            // A late message of a machine that is no more.
+            out.push(Effect::Answer(origin, unavailable("this machine was returned")));
+            return;
+        }
+        self.machines.entry(id).or_insert_with(|| {
+            let record = MachineRecord {
+                id,
+                endpoint: report.endpoint.clone(),
+                kind: report.kind.clone(),
+                zone: report.zone.clone(),
+                spot: report.spot,
+            };
+            info!("up machine={id} type={} zone={} spot={}", report.kind, report.zone, report.spot);
+            Machine::new(record, Room::default(), Enrolment::None, now)
+        });
+        if let Some(rented) = self.fleet.up(id)
+            && let Some(machine) = self.machines.get_mut(&id)
+        {
+            machine.since = rented;
+        }
+        self.message(now, wall, id, report);
+        if let Some(machine) = self.machines.get_mut(&id) {
+            if certain && machine.enrolment == Enrolment::None && !self.fleet.is_returning(id) {
+                machine.enrolment = Enrolment::Pending;
+                self.records.push(Record::Enrolled(machine.record.clone()));
+            }
+            if !machine.fenced {
+                machine.wants_command = true;
+            }
+        }
+        self.maybe_schedule(now, certain, out);
+        if let Some(machine) = self.machines.get_mut(&id) {
+            let orders = if machine.fenced { machine.orders() } else { Vec::new() };
+            machine.answered = now;
+            let body = serde_json::to_string(&ReportAnswer { token: self.token.0, orders }).unwrap_or_default();
+            out.push(Effect::Answer(origin, Answer { status: 200, retry_after: 0, body }));
+        }
+        self.flush(now, out);
+    }
+
+    /// A worker answered a direct command, or did not.
+    #[allow(clippy::too_many_arguments)]
+    pub fn command_answer(
+        &mut self,
+        now: Time,
+        wall: Wall,
+        certain: bool,
+        id: MachineId,
+        command: u64,
+        reply: &Reply,
+        out: &mut Vec<Effect>,
+    ) {
+        // 200: executed. 409: nothing executed, and nothing will be. Else it may come to be late.
+        let answered = matches!(reply.status, 200 | 409);
+        if let Some(machine) = self.machines.get_mut(&id) {
+            machine.command_over(command, answered);
+        }
+        if answered && let Some(report) = reply.parse::<Report>() {
+            if report.token > self.token.0 {
+                self.over = Some("a worker has seen a higher token");
+                return;
+            }
+            if report.machine == id.to_string() {
+                self.message(now, wall, id, &report);
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(&id)
+            && answered
+            && !machine.fenced
+        {
+            machine.wants_command = true;
+        }
+        self.maybe_schedule(now, certain, out);
+        self.flush(now, out);
+    }
+
+    fn message(&mut self, now: Time, _wall: Wall, id: MachineId, report: &Report) {
+        let token = self.token;
+        let Some(machine) = self.machines.get_mut(&id) else { return };
+        let had_notice = machine.notice.is_some();
+        let mut events = Vec::new();
+        machine.message(now, report, token, &mut events);
+        if !had_notice && machine.notice.is_some() {
+            info!("spot notice machine={id} seconds={:?}", report.notice_s);
+            self.dirty = true;
+        }
+        if !events.is_empty() {
+            self.dirty = true;
+        }
+        self.observed(now, id, events);
+    }
+
+    pub(crate) fn observed(&mut self, now: Time, id: MachineId, events: Vec<workers::Event>) {
+        for event in events {
+            match event {
+                workers::Event::Fenced => {
+                    info!("fenced machine={id} token={}", self.token);
+                    self.unfenced.remove(&id);
+                }
+                workers::Event::Found(attempt, task) => self.found(id, attempt, task),
+                workers::Event::Running(task) => {
+                    if let Some(placed) = self.book.get_mut(task.job).and_then(|j| j.placed.get_mut(&task.index)) {
+                        placed.running = true;
+                    }
+                }
+                workers::Event::Lost(task) => {
+                    debug!("lost {task} machine={id}");
+                    self.unplace(id, task);
+                }
+                workers::Event::Exited { attempt, task, cause, since, running_since, predicted } => {
+                    self.exited(now, id, attempt, task, cause, since, running_since, predicted);
+                }
+            }
+        }
+    }
+
+    /// A task that an earlier leader started: taken over if its job is not over.
+    fn found(&mut self, id: MachineId, attempt: Attempt, task: TaskId) {
+        let Some(machine) = self.machines.get_mut(&id) else { return };
+        let Some(hold) = machine.holds.get_mut(&attempt) else { return };
+        let Some(job) = self.book.get_mut(task.job) else { return };
+        hold.need = job.record.need;
+        hold.rank = job.record.rank;
+        hold.image.clone_from(&job.record.image);
+        hold.predicted = (!job.record.service).then_some(job.record.estimate);
+        let running = hold.phase == Phase::Running;
+        if job.pending.remove(task.index) {
+            job.placed.insert(task.index, intake::Placed { machine: id, attempt, running });
+            hold.claimed = true;
+            hold.stop = None;
+            if running {
+                machine.images.insert(job.record.image.clone());
+            }
+        } else {
+            warn!("stopping unexpected {task} attempt={attempt} machine={id}");
+        }
+    }
+
+    /// The task is on no machine any more.
+    fn unplace(&mut self, id: MachineId, task: TaskId) {
+        if let Some(job) = self.book.get_mut(task.job)
+            && job.placed.get(&task.index).is_some_and(|p| p.machine == id)
+        {
+            job.placed.remove(&task.index);
+            if !job.done.contains(task.index) {
+                job.pending.insert(task.index);
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn exited(
+        &mut self,
+        now: Time,
+        id: MachineId,
+        attempt: Attempt,
+        task: TaskId,
+        cause: Cause,
+        since: Time,
+        running_since: Option<Time>,
+        predicted: Option<Span>,
+    ) {
+        let Some(machine) = self.machines.get_mut(&id) else { return };
+        let Some(hold) = machine.holds.get_mut(&attempt) else { return };
+        hold.reapable = true;
+        let ours = std::mem::replace(&mut hold.claimed, false);
+        let inherited = attempt.0 >> 24 != self.token.0;
+        let Some(job) = self.book.get_mut(task.job) else { return };
+        if cause == Cause::Done && !job.record.service {
+            machine.failed_jobs.clear();
+            job.failures = 0;
+            if ours
+                && !inherited
+                && let Some(predicted) = predicted
+            {
+                self.correction.learn(now.since(since), predicted);
+            }
+            if job.done.insert(task.index) {
+                job.placed.remove(&task.index);
+                job.pending.remove(task.index);
+                hold.reapable = false;
+                self.finished.insert(task, (id, attempt));
+                self.records.push_done(task);
+            }
+            return;
+        }
+        if !ours {
+            return;
+        }
+        match cause {
+            Cause::Halted => debug!("stopped {task} machine={id}"),
+            Cause::Error => {
+                info!("failed {task} machine={id} ran={:?}", running_since.map(|r| now.since(r).as_secs()));
+                job.failures += 1;
+                if !job.failed_on.contains(&id) {
+                    job.failed_on.push(id);
+                }
+                // A job that fails wherever it runs is tried less and less often; a machine that
+                // fails different jobs is at fault itself.
+                if job.failed_on.len() >= 3 {
+                    let pause = 2u64.saturating_pow(job.failures.min(8)).min(60);
+                    job.not_before = now + Span(pause * 1000);
+                    job.failed_on.clear();
+                    self.plans.remove_job(task.job);
+                }
+                let job = self.book.get(task.job);
+                let faulty = job.is_some_and(|j| j.done.is_empty() && j.failures >= 3);
+                if !faulty {
+                    machine.failed_jobs.insert(task.job);
+                }
+                let succeeded_elsewhere = job.is_some_and(|j| !j.done.is_empty());
+                if (machine.failed_jobs.len() >= 2 || (succeeded_elsewhere && !faulty)) && machine.draining.is_none() {
+                    info!("quarantined machine={id} failed_jobs={}", machine.failed_jobs.len());
+                    machine.draining = Some("fails its tasks");
+                }
+            }
+            other => {
+                info!("refused {task} machine={id} cause={other:?}");
+                job.not_before = job.not_before.max(now + Span(500));
+            }
+        }
+        self.unplace(id, task);
+    }
+
+    // ---- cloud ----
+
+    /// The cloud answered.
+    pub fn cloud(&mut self, now: Time, _wall: Wall, certain: bool, id: u64, reply: &Reply, out: &mut Vec<Effect>) {
+        let mut events = Vec::new();
+        let machines = &self.machines;
+        self.fleet.reply(now, id, reply, &|id| machines.contains_key(&id), &mut events);
+        self.hired(now, events, out);
+        self.maybe_schedule(now, certain, out);
+        self.flush(now, out);
+    }
+
+    pub(crate) fn hired(&mut self, now: Time, events: Vec<fleet::Event>, out: &mut Vec<Effect>) {
+        for event in events {
+            match event {
+                fleet::Event::Call(id, call) => out.push(Effect::Cloud(self.token.0, id, call)),
+                fleet::Event::Failed(id) => self.fleet.give_back(id, "failed"),
+                fleet::Event::Returned(ids) => {
+                    self.dirty = true;
+                    for id in ids {
+                        self.plans.remove(id);
+                        self.unfenced.remove(&id);
+                        if let Some(mut machine) = self.machines.remove(&id) {
+                            info!("gone machine={id}");
+                            let mut events = Vec::new();
+                            machine.drop_holds(&mut events);
+                            if machine.enrolment != Enrolment::None {
+                                self.records.push(Record::Gone(id));
+                            }
+                            self.observed(now, id, events);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- time ----
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, wall: Wall, certain: bool, out: &mut Vec<Effect>) {
+        let mut events = Vec::new();
+        self.records.tick(now, &mut events);
+        self.recorded(now, wall, events, out);
+        if !self.loaded() {
+            return;
+        }
+        if self.records.wants_snapshot() {
+            let mut facts: Vec<Record> = self
+                .machines
+                .values()
+                .filter(|m| m.enrolment == Enrolment::Durable)
+                .map(|m| Record::Enrolled(m.record.clone()))
+                .collect();
+            facts.extend(self.book.facts());
+            debug!("snapshot facts={}", facts.len());
+            self.records.begin_snapshot(facts.into_iter());
+        }
+        if certain {
+            let mut events = Vec::new();
+            self.fleet.tick(now, &mut events);
+            self.hired(now, events, out);
+        }
+        if now.since(self.watched) >= Span(250) {
+            self.watched = now;
+            self.watch(now, certain);
+        }
+        for waiters in [&mut self.accepting, &mut self.cancelling] {
+            for list in waiters.values_mut() {
+                list.retain(|w| {
+                    if w.until <= now {
+                        out.push(Effect::Answer(w.origin, unavailable("the state service does not answer")));
+                    }
+                    w.until > now
+                });
+            }
+            waiters.retain(|_, list| !list.is_empty());
+        }
+        if !self.opened && self.open() {
+            self.opened = true;
+            self.dirty = true;
+            info!("open token={} after={}s", self.token, now.since(self.since).as_secs());
+        }
+        self.maybe_schedule(now, certain, out);
+        self.flush(now, out);
+    }
+
+    /// Looks after silent, late and drained machines.
+    fn watch(&mut self, now: Time, certain: bool) {
+        let times = &self.settings.deployment.workers;
+        let overdue = Span::secs(times.report_s * 1.25 + 1.0);
+        let patience = Span::secs((times.report_s * 4.0).max(7.0));
+        // A worker's clock may run slow by as much as ours runs fast, and a process may be late.
+        let lease_over = Span::secs(times.lease_s * 1.002 + 1.5);
+        let silent = |m: &Machine| now.since(m.heard) >= overdue;
+        let quiet = self.machines.values().filter(|m| silent(m)).count();
+        // If most machines are silent at once, it is this node that is cut off.
+        let cut_off = quiet > 3 && quiet * 2 > self.machines.len();
+        let mut events = Vec::new();
+        let mut give_back: Vec<(MachineId, &'static str)> = Vec::new();
+        for (id, m) in &mut self.machines {
+            if silent(m) {
+                if m.flight.is_none() && now.since(m.probed) >= Span(1000) {
+                    m.wants_command = true;
+                }
+                if m.fenced && now.since(m.answered) >= lease_over && !m.holds.is_empty() {
+                    info!("lease over machine={id}");
+                    let mut lost = Vec::new();
+                    m.drop_holds(&mut lost);
+                    events.push((*id, lost));
+                }
+                let limit = if cut_off { lease_over } else { patience };
+                if now.since(m.heard) >= limit {
+                    give_back.push((*id, "silent"));
+                }
+            }
+            let empty = !m.holds.values().any(workers::Hold::occupies);
+            if let Some(why) = m.draining {
+                if empty {
+                    give_back.push((*id, why));
+                }
+            } else if m.notice.is_some() && empty {
+                give_back.push((*id, "is taken back"));
+            }
+        }
+        for (id, lost) in events {
+            self.dirty = true;
+            self.observed(now, id, lost);
+        }
+        if certain {
+            for (id, why) in give_back {
+                if let Some(m) = self.machines.get_mut(&id) {
+                    m.draining.get_or_insert(why);
+                }
+                self.plans.remove(id);
+                self.fleet.give_back(id, why);
+            }
+            self.fleet.give_up_on_late(now);
+        }
+    }
+
+    /// Sends what is to be sent at once: direct commands and due commits.
+    pub(crate) fn flush(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut events = Vec::new();
+        self.records.tick(now, &mut events);
+        for event in events {
+            if let records::Event::Call(id, call) = event {
+                out.push(Effect::State(Slot::Records(self.token.0), id, call));
+            }
+        }
+        for (id, machine) in &mut self.machines {
+            if let Some(flight) = machine.flight
+                && now.since(flight.sent) > COMMAND_TIMEOUT + Span(500)
+            {
+                machine.command_over(flight.id, false);
+            }
+            if !machine.wants_command || machine.flight.is_some() {
+                continue;
+            }
+            // What does not answer is not tried again and again.
+            if now.since(machine.heard) > Span(2000) && now.since(machine.probed) < Span(500) {
+                continue;
+            }
+            machine.wants_command = false;
+            self.commands += 1;
+            let command = self.commands;
+            let orders = if machine.fenced { machine.direct_orders(command) } else { Vec::new() };
+            if orders.is_empty() && machine.fenced && now.since(machine.heard) < Span(2000) {
+                continue;
+            }
+            machine.probed = now;
+            machine.flight = Some(Flight { id: command, sent: now });
+            out.push(Effect::Command {
+                token: self.token.0,
+                machine: *id,
+                endpoint: machine.record.endpoint.clone(),
+                id: command,
+                body: Commands { token: self.token.0, session: machine.session.0, orders },
+            });
+        }
+    }
+
+    /// Whether a direct start of any attempt on this machine may still arrive late.
+    pub fn in_doubt(&self, id: MachineId) -> bool {
+        self.machines.get(&id).is_some_and(|m| m.holds.values().any(|h| h.doubt != Doubt::None))
+    }
+}
+
+fn refused(refusal: &Refusal) -> Answer {
+    let (status, body) = match refusal {
+        Refusal::Malformed(field, problem) => (400, json!({"error": problem, "field": field})),
+        Refusal::Never(why) => (422, json!({"error": why})),
+        Refusal::NotYet(why) => return unavailable(why),
+    };
+    Answer { status, retry_after: 0, body: body.to_string() }
+}
--- /dev/null
+++ b/src/runtime/clients.rs
@@ -0,0 +1,124 @@
+//! Requests to the state service, the cloud and the workers.
+
+use super::Message;
+use crate::controller::{Input, Slot};
+use crate::fleet::CloudCall;
+use crate::settings::Settings;
+use crate::store::{Reply, StateCall};
+use crate::units::MachineId;
+use crate::wire::{Commands, LeaseRequest, MachineNames};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Largest answer that is read.
+const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
+const CLOUD_TIMEOUT: Duration = Duration::from_millis(4900);
+const COMMAND_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// All clients, with pooled connections.
+pub struct Clients {
+    http: Client<HttpConnector, Full<Bytes>>,
+    state: SocketAddrV4,
+    cloud: SocketAddrV4,
+    tell: mpsc::Sender<Message>,
+}
+
+impl Clients {
+    /// Clients of the services in the settings.
+    pub fn new(settings: &Settings, tell: mpsc::Sender<Message>) -> Clients {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(Duration::from_millis(900)));
+        connector.set_nodelay(true);
+        let http = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_max_idle_per_host(4)
+            .build(connector);
+        Clients { http, state: settings.external.state, cloud: settings.external.cloud, tell }
+    }
+
+    fn send(
+        &self,
+        to: &str,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        patience: Duration,
+        wrap: impl FnOnce(Reply) -> Input + Send + 'static,
+    ) {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{to}{path}"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body.unwrap_or_default())));
+        let tell = self.tell.clone();
+        let http = self.http.clone();
+        tokio::spawn(async move {
+            let reply = match request {
+                Ok(request) => {
+                    let exchange = async {
+                        let response = http.request(request).await.ok()?;
+                        let status = response.status().as_u16();
+                        let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await.ok()?;
+                        Some(Reply { status, body: body.to_bytes() })
+                    };
+                    tokio::time::timeout(patience, exchange).await.ok().flatten().unwrap_or_else(Reply::none)
+                }
+                Err(_) => Reply::none(),
+            };
+            let _ = tell.send(Message::Input(wrap(reply))).await;
+        });
+    }
+
+    /// Asks the state service.
+    pub fn state(&self, slot: Slot, id: u64, call: StateCall, patience: Duration) {
+        let (method, path, body) = match call {
+            StateCall::Get(key) => (Method::GET, format!("/keys/{key}"), None),
+            StateCall::Scan { prefix, after } => {
+                let since = after.map(|a| format!("&Since={a}")).unwrap_or_default();
+                (Method::GET, format!("/keys?Under={prefix}{since}&Limit=1000"), None)
+            }
+            StateCall::Txn(txn) => (Method::POST, "/txn".into(), Some(json(&txn))),
+            StateCall::Grant(ttl) => (Method::POST, "/leases".into(), Some(json(&LeaseRequest { ttl_ms: ttl.0 }))),
+            StateCall::Renew(lease) => (Method::POST, format!("/leases/{lease}/extend"), Some(b"{}".to_vec())),
+        };
+        let to = self.state.to_string();
+        self.send(&to, method, &path, body, patience, move |reply| Input::State(slot, id, reply));
+    }
+
+    /// Asks the cloud.
+    pub fn cloud(&self, token: u64, id: u64, call: CloudCall) {
+        let (method, path, body) = match call {
+            CloudCall::Flavors => (Method::GET, "/flavors".into(), None),
+            CloudCall::Rent(request) => (Method::POST, "/hosts".into(), Some(json(&request))),
+            CloudCall::Return(ids) => {
+                let machines = ids.iter().map(MachineId::to_string).collect();
+                (Method::POST, "/hosts/return".into(), Some(json(&MachineNames { machines })))
+            }
+            CloudCall::List(after) => {
+                let since = after.map(|a| format!("Since={a}&")).unwrap_or_default();
+                (Method::GET, format!("/hosts?{since}Limit=500"), None)
+            }
+        };
+        let to = self.cloud.to_string();
+        self.send(&to, method, &path, body, CLOUD_TIMEOUT, move |reply| Input::Cloud(token, id, reply));
+    }
+
+    /// Sends commands to a worker.
+    pub fn command(&self, token: u64, machine: MachineId, endpoint: &str, id: u64, body: &Commands) {
+        self.send(endpoint, Method::POST, "/commands", Some(json(body)), COMMAND_TIMEOUT, move |reply| {
+            Input::Command(token, machine, id, reply)
+        });
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- /dev/null
+++ b/src/runtime/http.rs
@@ -0,0 +1,144 @@
+//! Users, workers and health checks over HTTP, with `warp`.
+
+use super::Message;
+use crate::peers::{Answer, UserCall};
+use crate::wire::Report;
+use bytes::Buf;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use warp::Filter;
+use warp::http::{Method, Response, StatusCode};
+
+/// Largest body that is read.
+const BODY_LIMIT: usize = 64 * 1024;
+/// Sockets kept for the state service, the cloud, workers and peers.
+const RESERVED_SOCKETS: u64 = 150;
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What came over HTTP.
+#[derive(Debug)]
+pub enum Asked {
+    /// A user's request.
+    User(UserCall),
+    /// A worker's report.
+    Report(Box<Report>),
+    /// A health check.
+    Up,
+}
+
+/// Accepts connections for ever.
+pub fn serve(listener: tokio::net::TcpListener, tell: mpsc::Sender<Message>, fd_limit: u64) {
+    let routes = warp::method().and(warp::path::full()).and(warp::body::stream()).then(
+        move |method: Method, path: warp::path::FullPath, body| {
+            let tell = tell.clone();
+            async move { response(answer(&method, path.as_str(), body, tell).await) }
+        },
+    );
+    let service = warp::service(routes);
+    let sockets = Arc::new(Semaphore::new(fd_limit.saturating_sub(RESERVED_SOCKETS).max(16) as usize));
+    tokio::spawn(async move {
+        loop {
+            let Ok(permit) = sockets.clone().acquire_owned().await else { return };
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::debug!("accept: {e}");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+            };
+            let _ = stream.set_nodelay(true);
+            let service = TowerToHyperService::new(service.clone());
+            tokio::spawn(async move {
+                let served = hyper::server::conn::http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(Duration::from_secs(75))
+                    .max_buf_size(80 * 1024)
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+                if let Err(e) = served {
+                    log::debug!("connection: {e}");
+                }
+                drop(permit);
+            });
+        }
+    });
+}
+
+fn response(answer: Answer) -> Response<String> {
+    let mut builder = Response::builder()
+        .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
+        .header("content-type", "application/json");
+    if answer.retry_after > 0 {
+        builder = builder.header("retry-after", answer.retry_after);
+    }
+    if answer.status == 413 {
+        // The rest of the body is not read, so the connection cannot be used again.
+        builder = builder.header("connection", "close");
+    }
+    builder.body(answer.body).unwrap_or_default()
+}
+
+fn plain(status: u16, why: &str) -> Answer {
+    Answer { status, retry_after: if status == 503 { 1 } else { 0 }, body: json!({"error": why}).to_string() }
+}
+
+async fn answer<S, B, E>(method: &Method, path: &str, body: S, tell: mpsc::Sender<Message>) -> Answer
+where
+    S: futures_core::Stream<Item = Result<B, E>> + Send,
+    B: Buf,
+{
+    let body = match tokio::time::timeout(BODY_TIMEOUT, read(body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(answer)) => return answer,
+        Err(_) => return plain(400, "the body did not arrive"),
+    };
+    let asked = match (method.as_str(), path.strip_prefix("/work")) {
+        ("POST", Some("")) => Asked::User(UserCall::Submit(body)),
+        (verb, Some(rest)) if rest.starts_with('/') => match (verb, rest[1..].strip_suffix("/withdraw")) {
+            ("POST", Some(id)) => Asked::User(UserCall::Withdraw(id.to_string())),
+            ("GET", None) => Asked::User(UserCall::Get(rest[1..].to_string())),
+            _ => return plain(405, "no such method here"),
+        },
+        ("POST", None) if path == "/v1/report" => match serde_json::from_slice::<Report>(&body) {
+            Ok(report) => Asked::Report(Box::new(report)),
+            Err(e) => return plain(400, &format!("malformed report: {e}")),
+        },
+        ("GET", None) if path == "/up" => Asked::Up,
+        (_, None) if path == "/up" || path == "/v1/report" => return plain(405, "no such method here"),
+        (_, Some("")) => return plain(405, "no such method here"),
+        _ => return plain(404, "no such path"),
+    };
+    let (to, from) = oneshot::channel();
+    if tell.try_send(Message::Request(asked, to)).is_err() {
+        return plain(503, "too busy");
+    }
+    from.await.unwrap_or_else(|_| plain(503, "no answer"))
+}
+
+/// Reads a body up to the limit; what is longer is refused without being read.
+async fn read<S, B, E>(body: S) -> Result<Vec<u8>, Answer>
+where
+    S: futures_core::Stream<Item = Result<B, E>> + Send,
+    B: Buf,
+{
+    let mut body = std::pin::pin!(body);
+    let mut bytes = Vec::new();
+    while let Some(part) = std::future::poll_fn(|cx| body.as_mut().poll_next(cx)).await {
+        let Ok(mut part) = part else { return Err(plain(400, "the body broke off")) };
+        while part.has_remaining() {
+            let chunk = part.chunk();
+            if bytes.len() + chunk.len() > BODY_LIMIT {
+                return Err(plain(413, "the body is larger than 64 KiB"));
+            }
+            bytes.extend_from_slice(chunk);
+            let n = chunk.len();
+            part.advance(n);
+        }
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/src/runtime/links.rs
@@ -0,0 +1,115 @@
+//! Links between controllers: one connection to each other node, many requests on it.
+
+use super::Message;
+use crate::controller::{Input, Origin};
+use crate::peers::{Frame, HEADER_BYTES};
+use crate::settings::Seed;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+
+/// Frames that may wait for a link.
+const QUEUE: usize = 512;
+const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+async fn read(from: &mut OwnedReadHalf) -> Option<Frame> {
+    let mut head = [0u8; HEADER_BYTES];
+    from.read_exact(&mut head).await.ok()?;
+    let header = Frame::header(&head).ok()?;
+    let mut body = vec![0; header.length.get() as usize];
+    from.read_exact(&mut body).await.ok()?;
+    Frame::decode(&header, body).ok()
+}
+
+async fn write(to: &mut OwnedWriteHalf, frame: &Frame) -> bool {
+    matches!(tokio::time::timeout(WRITE_TIMEOUT, to.write_all(&frame.encode())).await, Ok(Ok(())))
+}
+
+/// Takes other nodes' links.
+pub fn listen(listener: tokio::net::TcpListener, tell: mpsc::Sender<Message>) {
+    static LINKS: AtomicU64 = AtomicU64::new(0);
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            let link = LINKS.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(serve(stream, link, tell.clone()));
+        }
+    });
+}
+
+async fn serve(stream: TcpStream, link: u64, tell: mpsc::Sender<Message>) {
+    let _ = stream.set_nodelay(true);
+    let (mut from, mut to) = stream.into_split();
+    let (answers, mut queue) = mpsc::channel::<Frame>(QUEUE);
+    if tell.send(Message::Linked(link, answers)).await.is_err() {
+        return;
+    }
+    let reader = async {
+        while let Some(frame) = read(&mut from).await {
+            if let Frame::Request(id, call) = frame
+                && tell.send(Message::Input(Input::User(Origin::Peer(link, id), call))).await.is_err()
+            {
+                return;
+            }
+        }
+    };
+    let writer = async {
+        while let Some(frame) = queue.recv().await {
+            if !write(&mut to, &frame).await {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = reader => {}
+        () = writer => {}
+    }
+    let _ = tell.send(Message::Unlinked(link)).await;
+}
+
+/// Keeps a link to another node; frames sent while it is down are lost.
+pub fn connect(seed: &Seed, tell: mpsc::Sender<Message>) -> mpsc::Sender<Frame> {
+    let (frames, mut queue) = mpsc::channel::<Frame>(QUEUE);
+    let (node, address) = (seed.node.clone(), seed.address);
+    tokio::spawn(async move {
+        loop {
+            let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+            if let Ok(Ok(stream)) = connected {
+                let _ = stream.set_nodelay(true);
+                while queue.try_recv().is_ok() {}
+                let _ = tell.send(Message::Input(Input::Link(node.clone(), true))).await;
+                let (mut from, mut to) = stream.into_split();
+                let reader = async {
+                    while let Some(frame) = read(&mut from).await {
+                        if let Frame::Answer(id, answer) = frame
+                            && tell.send(Message::Input(Input::Forwarded(id, answer))).await.is_err()
+                        {
+                            return;
+                        }
+                    }
+                };
+                let writer = async {
+                    while let Some(frame) = queue.recv().await {
+                        if !write(&mut to, &frame).await {
+                            return;
+                        }
+                    }
+                };
+                tokio::select! {
+                    () = reader => {}
+                    () = writer => {}
+                }
+                let _ = tell.send(Message::Input(Input::Link(node.clone(), false))).await;
+            }
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+    });
+    frames
+}
--- /dev/null
+++ b/src/runtime/mod.rs
@@ -0,0 +1,123 @@
+//! The only place with sockets, clocks and tokio: feeds inputs to the core and carries effects out.
+
+mod clients;
+mod http;
+mod links;
+
+use crate::controller::{Controller, Effect, Input, Origin, Slot};
+use crate::peers::{Answer, Frame};
+use crate::settings::Settings;
+use crate::units::{Time, Wall};
+use log::{error, info};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::collections::HashMap;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+
+/// Inputs that may wait for the core; beyond it, requests are refused.
+const QUEUE: usize = 2048;
+/// How often time passes for the core.
+const TICK: Duration = Duration::from_millis(50);
+
+/// What tasks tell the core's loop.
+#[derive(Debug)]
+enum Message {
+    /// A request over HTTP and where its answer goes.
+    Request(http::Asked, oneshot::Sender<Answer>),
+    /// Anything else.
+    Input(Input),
+    /// A peer's link was opened: where its answers go.
+    Linked(u64, mpsc::Sender<Frame>),
+    /// A peer's link was closed.
+    Unlinked(u64),
+}
+
+/// Runs a node until the process is killed.
+pub fn run(settings: Settings) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> std::io::Result<()> {
+    let (tell, mut inbox) = mpsc::channel::<Message>(QUEUE);
+    let api = tokio::net::TcpListener::bind(settings.api_addr).await?;
+    let peer = tokio::net::TcpListener::bind(settings.peer_bind).await?;
+    info!("node {} listens on {} and for peers on {}", settings.node, settings.api_addr, settings.peer_bind);
+    http::serve(api, tell.clone(), settings.deployment.resources.fd_limit);
+    links::listen(peer, tell.clone());
+    let mut links: HashMap<String, mpsc::Sender<Frame>> = HashMap::new();
+    for seed in &settings.seeds {
+        links.insert(seed.node.clone(), links::connect(seed, tell.clone()));
+    }
+    let clients = clients::Clients::new(&settings, tell.clone());
+    let start = Instant::now();
+    let mut controller = Controller::new(settings, SmallRng::from_os_rng().random());
+    let mut waiting: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
+    let mut incoming: HashMap<u64, mpsc::Sender<Frame>> = HashMap::new();
+    let mut requests = 0u64;
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let message = tokio::select! {
+            message = inbox.recv() => message,
+            _ = tick.tick() => Some(Message::Input(Input::Tick)),
+        };
+        let input = match message {
+            Some(Message::Request(asked, to)) => {
+                requests += 1;
+                waiting.insert(requests, to);
+                let origin = Origin::Http(requests);
+                match asked {
+                    http::Asked::User(call) => Input::User(origin, call),
+                    http::Asked::Report(report) => Input::Report(origin, report),
+                    http::Asked::Up => Input::Up(origin),
+                }
+            }
+            Some(Message::Input(input)) => input,
+            Some(Message::Linked(link, to)) => {
+                incoming.insert(link, to);
+                continue;
+            }
+            Some(Message::Unlinked(link)) => {
+                incoming.remove(&link);
+                continue;
+            }
+            None => return Ok(()),
+        };
+        // The clock starts at one second, so that "long ago" can be told from "never".
+        let now = Time(start.elapsed().as_millis() as u64 + 1000);
+        let wall = Wall(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64));
+        for effect in controller.handle(now, wall, input) {
+            match effect {
+                Effect::Answer(Origin::Http(id), answer) => {
+                    if let Some(to) = waiting.remove(&id) {
+                        // A user who has hung up wants no answer.
+                        let _ = to.send(answer);
+                    }
+                }
+                Effect::Answer(Origin::Peer(link, id), answer) => {
+                    if let Some(to) = incoming.get(&link)
+                        && to.try_send(Frame::Answer(id, answer)).is_err()
+                    {
+                        // A peer that does not read loses its link, and with it all that waits there.
+                        incoming.remove(&link);
+                    }
+                }
+                Effect::State(slot, id, call) => {
+                    let patience = if slot == Slot::Leadership { 950 } else { 1450 };
+                    clients.state(slot, id, call, Duration::from_millis(patience));
+                }
+                Effect::Cloud(token, id, call) => clients.cloud(token, id, call),
+                Effect::Command { token, machine, endpoint, id, body } => {
+                    clients.command(token, machine, &endpoint, id, &body);
+                }
+                Effect::Forward(node, id, call) => {
+                    let sent = links.get(&node).is_some_and(|to| to.try_send(Frame::Request(id, call)).is_ok());
+                    if !sent {
+                        error!("cannot forward to {node}");
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/scheduling.rs
@@ -0,0 +1,625 @@
+//! Where plan, jobs, machines and fleet meet: what is planned, started, pushed aside and rented.
+
+use crate::controller::Effect;
+use crate::fleet::{self, Demand, Place};
+use crate::intake::{self, Job};
+use crate::plan::{Entry, Order, Server, World};
+use crate::reign::Reign;
+use crate::units::{JobId, MachineId, Room, Span, TaskId, Time};
+use crate::workers::{Doubt, Hold, Machine, Phase};
+use log::{debug, info};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// Least time between two plannings: a controller has a tenth of a core.
+const SCHEDULE_EVERY: Span = Span(100);
+/// Least time between two looks at what to rent and return.
+const DEMAND_EVERY: Span = Span(500);
+/// Tasks of one job that are planned at once.
+const BATCH: u32 = 128;
+
+/// What the plan may know, borrowed beside the plan itself.
+struct View<'a> {
+    reign: &'a Parts<'a>,
+}
+
+/// The parts of a reign that planning reads.
+struct Parts<'a> {
+    book: &'a intake::JobBook,
+    machines: &'a BTreeMap<MachineId, Machine>,
+    fleet: &'a fleet::Fleet,
+    correction: crate::plan::Correction,
+    zones: &'a [String],
+}
+
+impl Parts<'_> {
+    fn place_of(&self, id: MachineId) -> Option<(&str, &str, bool)> {
+        if let Some(m) = self.machines.get(&id) {
+            return Some((&m.record.kind, &m.record.zone, m.record.spot));
+        }
+        self.fleet.booting().find(|(b, _)| **b == id).map(|(_, b)| (b.kind.as_str(), b.zone.as_str(), b.spot))
+    }
+
+    /// Whether the job's description allows its tasks on this machine.
+    fn allowed(&self, job: &Job, id: MachineId) -> bool {
+        let Some((kind, zone, spot)) = self.place_of(id) else { return false };
+        job.record.allows(kind, zone, spot) && !job.failed_on.contains(&id)
+    }
+
+    /// How many of a job's tasks are, or may be, in each zone.
+    fn by_zone(&self, job: &Job) -> BTreeMap<usize, u32> {
+        let mut zones = BTreeMap::new();
+        for placed in job.placed.values() {
+            if let Some(zone) = self.machines.get(&placed.machine).and_then(|m| self.zone(&m.record.zone)) {
+                *zones.entry(zone).or_insert(0) += 1;
+            }
+        }
+        zones
+    }
+
+    fn zone(&self, name: &str) -> Option<usize> {
+        self.zones.iter().position(|z| z == name)
+    }
+
+    /// Run-time estimate plus uncached image fetch, scaled by CorrecFAST.
+    fn predicted(&self, job: &Job, id: MachineId) -> Option<Span> {
+        let (kind, ..) = self.place_of(id)?;
+        let cached = self.machines.get(&id).is_some_and(|m| m.images.contains(&job.record.image));
+        let fetch = match self.fleet.flavor(kind) {
+            Some(f) if !cached && f.fetch_gb_per_s > 0.0 => {
+                Span((job.record.image_mb as f64 / f.fetch_gb_per_s) as u64)
+            }
+            _ => Span(0),
+        };
+        Some(self.correction.predict(job.record.estimate + fetch))
+    }
+}
+
+impl World for View<'_> {
+    fn predict(&self, job: JobId, server: &Server) -> Option<Span> {
+        let job = self.reign.book.get(job)?;
+        if !self.reign.allowed(job, server.id) {
+            return None;
+        }
+        self.reign.predicted(job, server.id)
+    }
+
+    fn zone_room(&self, job: JobId, zone: usize, planned: &BTreeMap<usize, u32>) -> u32 {
+        let Some(job) = self.reign.book.get(job) else { return 0 };
+        let mut zones = self.reign.by_zone(job);
+        for (zone, n) in planned {
+            *zones.entry(*zone).or_insert(0) += n;
+        }
+        if job.record.together && zones.keys().any(|z| *z != zone) {
+            return 0;
+        }
+        job.record.zone_cap().saturating_sub(zones.get(&zone).copied().unwrap_or(0))
+    }
+}
+
+fn entry_of(job: &Job) -> Entry {
+    Entry {
+        job: job.record.id,
+        order: Order { rank: job.record.rank, seq: job.seq },
+        count: 1,
+        need: job.record.need,
+        run: Span(0),
+        endless: job.record.service,
+        deadline: job.deadline(),
+        tied: job.record.together || job.record.spread,
+    }
+}
+
+/// When a hold is predicted to give its room back.
+fn release(hold: &Hold, now: Time) -> Option<Time> {
+    if hold.stop.is_some() {
+        return Some(now + Span(100));
+    }
+    let predicted = hold.predicted?;
+    let end = hold.since + predicted;
+    // Overdue: most likely it ends soon, but not at once.
+    Some(end.max(now + Span((predicted.0 / 10).max(300))))
+}
+
+impl Reign {
+    fn parts(&self) -> Parts<'_> {
+        Parts {
+            book: &self.book,
+            machines: &self.machines,
+            fleet: &self.fleet,
+            correction: self.correction,
+            zones: &self.zones,
+        }
+    }
+
+    pub(crate) fn maybe_schedule(&mut self, now: Time, certain: bool, out: &mut Vec<Effect>) {
+        if !self.loaded() || self.fleet.flavors().is_none() || now.since(self.scheduled) < SCHEDULE_EVERY {
+            return;
+        }
+        let look = now.since(self.demanded) >= DEMAND_EVERY;
+        if !self.dirty && !look {
+            return;
+        }
+        self.dirty = false;
+        self.scheduled = now;
+        self.schedule(now);
+        if look {
+            self.demanded = now;
+            if certain {
+                self.rent(now, out);
+                self.return_idle(now);
+            }
+        }
+    }
+
+    fn schedule(&mut self, now: Time) {
+        self.refresh(now);
+        let used = self.team_use();
+        self.drain_noticed(now);
+        self.plan_waiting(now, &used);
+        let mut used = used;
+        self.start_planned(now, &mut used);
+        self.steal(now, &mut used);
+        self.make_room(now);
+    }
+
+    /// Brings the plan's machines up to date.
+    fn refresh(&mut self, now: Time) {
+        let overdue = Span::secs(self.settings.deployment.workers.report_s * 2.0 + 2.0);
+        for machine in self.machines.values_mut() {
+            if machine.capacity == Room::default()
+                && let Some(flavor) = self.fleet.flavors().into_iter().flatten().find(|f| f.name == machine.record.kind)
+            {
+                machine.capacity = intake::capacity(flavor);
+            }
+        }
+        let mut seen = HashSet::new();
+        let mut refreshed = Vec::new();
+        for (id, m) in &self.machines {
+            if m.draining.is_some()
+                || m.notice.is_some()
+                || now.since(m.heard) > overdue
+                || self.fleet.is_returning(*id)
+            {
+                continue;
+            }
+            seen.insert(*id);
+            let ready = if m.usable() { now } else { now + Span(500) };
+            let releases = m
+                .holds
+                .values()
+                .filter(|h| h.occupies())
+                .filter_map(|h| release(h, now).map(|at| (at, h.need)))
+                .collect();
+            refreshed.push((*id, m.record.zone.clone(), ready, m.free(), releases));
+        }
+        for (id, b) in self.fleet.booting() {
+            let Some(flavor) = self.fleet.flavor(&b.kind) else { continue };
+            seen.insert(*id);
+            let expected = b.since + Span::secs(flavor.boot_s * 1.05);
+            let ready = expected.max(now + Span(2000));
+            refreshed.push((*id, b.zone.clone(), ready, intake::capacity(flavor), Vec::new()));
+        }
+        for (id, zone, ready, free, releases) in refreshed {
+            let zone = match self.zones.iter().position(|z| *z == zone) {
+                Some(at) => at,
+                None => {
+                    self.zones.push(zone);
+                    self.zones.len() - 1
+                }
+            };
+            self.plans.refresh(id, zone, ready, free, releases);
+        }
+        let gone: Vec<MachineId> = self.plans.servers().map(|s| s.id).filter(|id| !seen.contains(id)).collect();
+        for id in gone {
+            self.plans.remove(id);
+        }
+    }
+
+    /// What each team's tasks use, or may use.
+    fn team_use(&self) -> HashMap<String, Room> {
+        let mut used: HashMap<String, Room> = HashMap::new();
+        for machine in self.machines.values() {
+            for hold in machine.holds.values().filter(|h| h.occupies()) {
+                // A task whose job is over still counts; its team is not known any more, so it
+                // counts for all that are limited.
+                let team = self.book.get(hold.task.job).map_or("", |j| j.record.team.as_str());
+                let need = if hold.need == Room::default() { machine.capacity } else { hold.need };
+                used.entry(team.to_string()).or_default().add(&need);
+            }
+        }
+        used
+    }
+
+    /// Whether a team may use this much more.
+    fn within_limit(&self, used: &HashMap<String, Room>, job: &Job, times: u64) -> bool {
+        let Some(team) = self.settings.deployment.teams.iter().find(|t| t.name == job.record.team) else {
+            return false;
+        };
+        if team.cpus_max <= 0.0 && team.gpus_max <= 0.0 {
+            return true;
+        }
+        if !self.open() {
+            // Machines that are not fenced may run tasks of the team that are not known here.
+            return false;
+        }
+        let of = |name: &str| used.get(name).copied().unwrap_or_default();
+        let mut total = of(&job.record.team);
+        total.add(&of(""));
+        let fits = |max: f64, have: u64, need: u64| max <= 0.0 || have + need * times <= (max * 1000.0 + 1e-6) as u64;
+        fits(team.cpus_max, total.cpus, job.record.need.cpus) && fits(team.gpus_max, total.gpus, job.record.need.gpus)
+    }
+
+    /// Whether tasks of this job may be started at all now.
+    fn startable(&self, job: &Job, now: Time) -> bool {
+        job.durable && !job.cancelling && !job.pending.is_empty() && job.not_before <= now && (self.open() || job.ours)
+    }
+
+    /// Places what waits unplanned, most important first.
+    fn plan_waiting(&mut self, now: Time, used: &HashMap<String, Room>) {
+        let mut waiting: Vec<(Order, JobId, u32)> = self
+            .book
+            .live()
+            .filter(|j| self.startable(j, now) && self.within_limit(used, j, 1))
+            .filter_map(|j| {
+                let left = j.pending.len().saturating_sub(self.plans.planned(j.record.id));
+                (left > 0).then_some((Order { rank: j.record.rank, seq: j.seq }, j.record.id, left))
+            })
+            .collect();
+        waiting.sort_unstable();
+        // Like tasks that found no machine in this round are not tried one by one.
+        let mut hopeless: Vec<(Room, bool, bool)> = Vec::new();
+        for (_, id, left) in waiting {
+            let Some(job) = self.book.get(id) else { continue };
+            let class = (job.record.need, job.record.spot, job.record.service);
+            let plain = job.record.types.is_none() && job.record.zone.is_none();
+            if plain && hopeless.contains(&class) {
+                continue;
+            }
+            let entry = entry_of(job);
+            let want = left.min(BATCH);
+            let mut plans = std::mem::take(&mut self.plans);
+            let parts = self.parts();
+            let placed = plans.place(now, entry, want, &View { reign: &parts });
+            self.plans = plans;
+            if placed < want && plain && !entry.tied {
+                hopeless.push(class);
+            }
+        }
+    }
+
+    /// Whether a task of this job may start on this machine at this moment.
+    fn may_start(&self, job: &Job, machine: &Machine, now: Time, used: &HashMap<String, Room>) -> bool {
+        if !machine.usable() || !self.startable(job, now) || !self.within_limit(used, job, 1) {
+            return false;
+        }
+        let parts = self.parts();
+        if !parts.allowed(job, machine.id()) || !job.record.need.fits(&machine.free()) {
+            return false;
+        }
+        if job.record.spread || job.record.together {
+            let Some(zone) = parts.zone(&machine.record.zone) else { return false };
+            let zones = parts.by_zone(job);
+            if job.record.together && zones.keys().any(|z| *z != zone) {
+                return false;
+            }
+            return zones.get(&zone).copied().unwrap_or(0) < job.record.zone_cap();
+        }
+        true
+    }
+
+    /// Starts what has room on the machine that it was planned for.
+    fn start_planned(&mut self, now: Time, used: &mut HashMap<String, Room>) {
+        let ids: Vec<MachineId> = self.plans.servers().filter(|s| !s.queue.is_empty()).map(|s| s.id).collect();
+        for id in ids {
+            let mut at = 0;
+            while let Some(entry) = self.plans.server(id).and_then(|s| s.queue.get(at)).copied() {
+                let (Some(machine), Some(job)) = (self.machines.get(&id), self.book.get(entry.job)) else { break };
+                if !machine.usable() {
+                    break;
+                }
+                if self.may_start(job, machine, now, used) {
+                    self.plans.take(id, at);
+                    self.start_task(now, id, entry, used);
+                } else if entry.need.fits(&machine.free()) || entry.endless {
+                    // Held back by something else than room, or behind room that endless tasks keep.
+                    at += 1;
+                } else {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn start_task(&mut self, now: Time, id: MachineId, entry: Entry, used: &mut HashMap<String, Room>) {
+        let attempt = self.next_attempt();
+        let Some(job) = self.book.get_mut(entry.job) else { return };
+        let Some(machine) = self.machines.get_mut(&id) else { return };
+        let Some(index) = job.pending.iter().take(64).find(|i| !machine.knows(TaskId { job: entry.job, index: *i }))
+        else {
+            return;
+        };
+        job.pending.remove(index);
+        job.placed.insert(index, intake::Placed { machine: id, attempt, running: false });
+        let task = TaskId { job: entry.job, index };
+        debug!("start {task} attempt={attempt} machine={id} predicted={}s", entry.run.as_secs());
+        used.entry(job.record.team.clone()).or_default().add(&entry.need);
+        machine.idle_since = None;
+        machine.holds.insert(
+            attempt,
+            Hold {
+                task,
+                phase: Phase::Ordered,
+                seen: false,
+                doubt: Doubt::None,
+                stop: None,
+                stop_sent: false,
+                reapable: false,
+                claimed: true,
+                need: entry.need,
+                rank: entry.order.rank,
+                image: job.record.image.clone(),
+                since: now,
+                running_since: None,
+                predicted: (!entry.endless).then_some(entry.run),
+            },
+        );
+        machine.wants_command = true;
+    }
+
+    /// Machines with nothing planned take the highest-priority fitting task from other plans.
+    fn steal(&mut self, now: Time, used: &mut HashMap<String, Room>) {
+        let idle: Vec<MachineId> = self
+            .plans
+            .servers()
+            .filter(|s| s.queue.is_empty() && s.free.cpus > 0 && self.machines.get(&s.id).is_some_and(Machine::usable))
+            .map(|s| s.id)
+            .collect();
+        if idle.len() == self.plans.servers().count() {
+            return;
+        }
+        for id in idle {
+            for _ in 0..64 {
+                let mut plans = std::mem::take(&mut self.plans);
+                let Some(machine) = self.machines.get(&id) else { break };
+                if let Some(server) = plans.server(id) {
+                    let (zone, ready, releases) = (server.zone, server.ready, server.releases.clone());
+                    plans.refresh(id, zone, ready, machine.free(), releases);
+                }
+                let parts = self.parts();
+                let taken = plans.steal(id, &|entry, _| {
+                    let job = self.book.get(entry.job)?;
+                    if !self.may_start(job, machine, now, used) {
+                        return None;
+                    }
+                    parts.predicted(job, id)
+                });
+                self.plans = plans;
+                let Some(entry) = taken else { break };
+                self.plans.clear_queue(id);
+                self.start_task(now, id, entry, used);
+            }
+        }
+    }
+
+    /// Stops tasks of lower priority where services would have to wait for room.
+    fn make_room(&mut self, now: Time) {
+        let mut waiting: Vec<(Order, JobId, Entry, MachineId)> = Vec::new();
+        for server in self.plans.servers() {
+            for entry in server.queue.iter().filter(|e| e.endless && e.order.rank == 0) {
+                waiting.push((entry.order, entry.job, *entry, server.id));
+            }
+        }
+        waiting.sort_by_key(|w| w.0);
+        let mut claimed: HashMap<MachineId, Room> = HashMap::new();
+        for (_, id, entry, planned_on) in waiting.into_iter().take(16) {
+            let Some(job) = self.book.get(id) else { continue };
+            if !self.startable(job, now) {
+                continue;
+            }
+            for _ in 0..entry.count {
+                let Some(job) = self.book.get(id) else { break };
+                let parts = self.parts();
+                let mut best: Option<(u64, MachineId, Vec<crate::units::Attempt>)> = None;
+                for (mid, machine) in &self.machines {
+                    if !machine.usable() || !parts.allowed(job, *mid) {
+                        continue;
+                    }
+                    let Some(zone) = parts.zone(&machine.record.zone) else { continue };
+                    let mut others = parts.by_zone(job);
+                    if job.record.together && others.keys().any(|z| *z != zone) {
+                        continue;
+                    }
+                    if *others.entry(zone).or_insert(0) >= job.record.zone_cap() {
+                        continue;
+                    }
+                    let mut free = machine.free();
+                    for hold in machine.holds.values().filter(|h| h.occupies() && h.stop.is_some()) {
+                        free.add(&hold.need);
+                    }
+                    free.sub(&claimed.get(mid).copied().unwrap_or_default());
+                    let mut victims: Vec<(u64, crate::units::Attempt, Room)> = machine
+                        .holds
+                        .iter()
+                        .filter(|(_, h)| {
+                            h.claimed
+                                && h.occupies()
+                                && h.stop.is_none()
+                                && h.rank > entry.order.rank
+                                && h.predicted.is_some()
+                        })
+                        .map(|(a, h)| {
+                            let ran = h.running_since.map_or(Span(0), |r| now.since(r));
+                            let every = self.book.get(h.task.job).map_or(0, |j| j.record.checkpoint.0);
+                            let lost = if every > 0 { ran.0 % every } else { ran.0 };
+                            (lost, *a, h.need)
+                        })
+                        .collect();
+                    victims.sort_unstable_by_key(|v| v.0);
+                    let (mut cost, mut chosen) = (0, Vec::new());
+                    for (lost, attempt, room) in victims {
+                        if entry.need.fits(&free) {
+                            break;
+                        }
+                        free.add(&room);
+                        cost += lost * room.cpus / 1000 + 1;
+                        chosen.push(attempt);
+                    }
+                    if !entry.need.fits(&free) {
+                        continue;
+                    }
+                    let cached = machine.images.contains(&job.record.image);
+                    let cost = cost + if cached { 0 } else { 10_000 };
+                    if best.as_ref().is_none_or(|(c, ..)| cost < *c) {
+                        best = Some((cost, *mid, chosen));
+                    }
+                }
+                let Some((cost, mid, victims)) = best else { break };
+                claimed.entry(mid).or_default().add(&entry.need);
+                for attempt in victims {
+                    let Some(machine) = self.machines.get_mut(&mid) else { continue };
+                    if let Some(hold) = machine.holds.get(&attempt) {
+                        info!("preempted {} machine={mid} for={id} cost={cost}", hold.task);
+                    }
+                    machine.stop(attempt, 0.0);
+                }
+                if mid != planned_on {
+                    // Planned anew in the next round, when the room shows.
+                    self.plans.remove_job(id);
+                    self.dirty = true;
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Saves what can be saved on machines that the cloud takes back.
+    fn drain_noticed(&mut self, now: Time) {
+        let slack = Span::secs(self.settings.deployment.workers.report_s * 0.5 + 1.0);
+        for machine in self.machines.values_mut() {
+            let Some(until) = machine.notice else { continue };
+            let left = Span(until.0.saturating_sub(now.0));
+            let mut stops = Vec::new();
+            for (attempt, hold) in machine.holds.iter().filter(|(_, h)| h.claimed && h.occupies() && h.stop.is_none()) {
+                let Some(job) = self.book.get(hold.task.job) else { continue };
+                let ends = release(hold, now).unwrap_or(Time::NEVER);
+                if ends < until {
+                    continue;
+                }
+                let save = job.record.save;
+                if job.record.checkpoint.0 == 0 {
+                    stops.push((*attempt, 0.0));
+                } else if left <= save + slack + Span(500) {
+                    stops.push((*attempt, save.as_secs()));
+                }
+            }
+            for (attempt, grace) in stops {
+                machine.stop(attempt, grace);
+            }
+        }
+    }
+
+    /// What waits too long on the machines that there are, as classes.
+    fn demands(&self, now: Time) -> Vec<Demand> {
+        let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(f64::MAX, f64::min);
+        let boot = Span::secs(if boots == f64::MAX { 30.0 } else { boots });
+        let mut counts: BTreeMap<(Order, JobId), u32> = BTreeMap::new();
+        for server in self.plans.servers().filter(|s| !s.queue.is_empty()) {
+            for (entry, start) in self.plans.starts(server.id, now) {
+                let late = match start {
+                    None => true,
+                    Some(at) if entry.endless => at > now + Span(1500),
+                    Some(at) if entry.deadline != Time::NEVER => at + entry.run > entry.deadline && at > now + boot,
+                    Some(at) => at > now + boot,
+                };
+                if late {
+                    *counts.entry((entry.order, entry.job)).or_insert(0) += 1;
+                }
+            }
+        }
+        for job in self.book.live().filter(|j| self.startable(j, now)) {
+            let left = job.pending.len().saturating_sub(self.plans.planned(job.record.id));
+            if left > 0 {
+                *counts.entry((Order { rank: job.record.rank, seq: job.seq }, job.record.id)).or_insert(0) += left;
+            }
+        }
+        counts
+            .into_iter()
+            .filter_map(|((_, id), count)| {
+                let job = self.book.get(id)?;
+                let limit = self.limit_left(job);
+                Some(Demand {
+                    need: job.record.need,
+                    count: count.min(limit),
+                    spot: job.record.spot,
+                    types: job.record.types.clone(),
+                    zone: job.record.zone.clone(),
+                    zone_cap: job.record.zone_cap(),
+                })
+            })
+            .filter(|d| d.count > 0)
+            .collect()
+    }
+
+    /// How many tasks of a job its team's limit lets run at once.
+    fn limit_left(&self, job: &Job) -> u32 {
+        let Some(team) = self.settings.deployment.teams.iter().find(|t| t.name == job.record.team) else { return 0 };
+        let part = |max: f64, need: u64| {
+            if max > 0.0 { ((max * 1000.0) as u64).checked_div(need).unwrap_or(u64::MAX) } else { u64::MAX }
+        };
+        part(team.cpus_max, job.record.need.cpus)
+            .min(part(team.gpus_max, job.record.need.gpus))
+            .min(u64::from(u32::MAX)) as u32
+    }
+
+    fn rent(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.fleet.renting() || (!self.open() && now.since(self.since) < Span(3000)) {
+            return;
+        }
+        let demands = self.demands(now);
+        if demands.is_empty() {
+            return;
+        }
+        let mut zones: BTreeMap<String, u64> = BTreeMap::new();
+        for machine in self.machines.values().filter(|m| !m.record.spot) {
+            *zones.entry(machine.record.zone.clone()).or_insert(0) += machine.capacity.cpus;
+        }
+        for (_, b) in self.fleet.booting().filter(|(_, b)| !b.spot) {
+            let cpus = self.fleet.flavor(&b.kind).map_or(0, |f| intake::capacity(f).cpus);
+            *zones.entry(b.zone.clone()).or_insert(0) += cpus;
+        }
+        let fleet = &self.fleet;
+        let refused = |place: &Place| fleet.refused(place, now);
+        let counts = fleet::choose(&demands, self.fleet.flavors().unwrap_or_default(), &refused, &mut zones);
+        let mut events = Vec::new();
+        for (place, count) in counts.into_iter().take(4) {
+            self.fleet.rent(now, &place, count, &mut events);
+        }
+        self.hired(now, events, out);
+    }
+
+    /// Gives back what has been idle: a machine costs a minimum that is better used than wasted.
+    fn return_idle(&mut self, now: Time) {
+        const MINIMUM_CHARGE: Span = Span(60_000);
+        let mut idle = Vec::new();
+        for (id, m) in &mut self.machines {
+            let busy =
+                m.holds.values().any(Hold::occupies) || self.plans.server(*id).is_some_and(|s| !s.queue.is_empty());
+            if busy || !m.usable() {
+                m.idle_since = None;
+                continue;
+            }
+            let since = *m.idle_since.get_or_insert(now);
+            let keep = if m.record.spot { self.settings.tuning.idle_spot } else { self.settings.tuning.idle_ordinary };
+            if now.since(since) >= keep && now.since(m.since) >= MINIMUM_CHARGE {
+                idle.push(*id);
+            }
+        }
+        for id in idle {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.draining = Some("idle");
+            }
+            self.plans.remove(id);
+            self.fleet.give_back(id, "idle");
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,383 @@
+//! What a node is told at its start: the platform's TOML and the operators' INI.
+
+use crate::units::Span;
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use std::path::Path;
+
+/// Settings that cannot be used, with the field at fault.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// A file could not be read.
+    #[error("{0}: {1}")]
+    Read(String, std::io::Error),
+    /// The platform's file is not what DEPLOY describes.
+    #[error("settings: {0}")]
+    Toml(String),
+    /// A field has a value that cannot be used.
+    #[error("settings: field `{field}`: {problem}")]
+    Field {
+        /// Path of the field.
+        field: String,
+        /// What is wrong with it.
+        problem: String,
+    },
+    /// The operators' file is malformed.
+    #[error("operators' settings: {0}")]
+    Ini(String),
+}
+
+fn field(field: impl Into<String>, problem: impl Into<String>) -> SettingsError {
+    SettingsError::Field { field: field.into(), problem: problem.into() }
+}
+
+/// The platform's settings.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    /// This node's name.
+    pub node: String,
+    /// The zone it runs in.
+    #[serde(default)]
+    pub area: String,
+    /// Address for users, workers and health checks.
+    pub api_addr: SocketAddrV4,
+    /// Address for other controllers.
+    pub peer_bind: SocketAddrV4,
+    /// The other controllers.
+    #[serde(default)]
+    pub seeds: Vec<Seed>,
+    /// Outside services.
+    pub external: External,
+    /// Facts of this deployment.
+    pub deployment: Deployment,
+    /// Operators' own settings.
+    #[serde(skip)]
+    pub tuning: Tuning,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Seed {
+    /// Name.
+    pub node: String,
+    /// Peer address.
+    pub address: SocketAddrV4,
+}
+
+/// Addresses of the services outside.
+#[derive(Debug, Clone, Deserialize)]
+pub struct External {
+    /// Cloud API.
+    pub cloud: SocketAddrV4,
+    /// State service.
+    pub state: SocketAddrV4,
+}
+
+/// Facts of a deployment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    /// Number of controllers.
+    #[serde(default)]
+    pub size: u32,
+    /// How far the time of day may be off.
+    #[serde(default)]
+    pub clock_error_ms: f64,
+    /// Teams.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// Aims at starting and finishing.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Worker timing.
+    pub workers: WorkerTimes,
+    /// Limits of the state service.
+    pub state: StateLimits,
+    /// Limits of the cloud.
+    pub cloud: CloudLimits,
+    /// Limits of this process.
+    pub resources: Resources,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    /// Name.
+    pub name: String,
+    /// Guaranteed CPUs.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most CPUs.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed GPUs.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most GPUs.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim at starting or finishing the jobs of a class.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    /// `wait`, `deadline` or `finished`.
+    pub kind: String,
+    /// Class of jobs.
+    #[serde(default)]
+    pub class: String,
+    /// Time allowed.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    /// Share that must make it.
+    #[serde(default)]
+    pub share: f64,
+}
+
+/// Worker timing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct WorkerTimes {
+    /// Interval of reports.
+    pub report_s: f64,
+    /// A worker's lease.
+    pub lease_s: f64,
+    /// Time until a cancelled job's tasks must be gone.
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service, shared by all nodes.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    /// Requests per second.
+    pub rps: f64,
+    /// Changes per second.
+    pub write_rps: f64,
+    /// Largest value.
+    pub value_kb: f64,
+    /// Most changes in a transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud, shared by all nodes.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    /// Requests per second.
+    pub rps: f64,
+    /// How late its list is.
+    #[serde(default)]
+    pub list_lag_s: f64,
+}
+
+/// Limits of this process.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Resources {
+    /// Share of a core.
+    #[serde(default)]
+    pub cpu: f64,
+    /// Memory.
+    #[serde(default)]
+    pub memory_mb: f64,
+    /// Sockets.
+    #[serde(default = "default_fds")]
+    pub fd_limit: u64,
+}
+
+fn default_fds() -> u64 {
+    512
+}
+
+/// The operators' own settings, read from an INI file; each has a default.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tuning {
+    /// Life of the leadership lease.
+    pub leader_lease: Span,
+    /// Least time between two commits.
+    pub commit_every: Span,
+    /// How long an idle ordinary machine is kept.
+    pub idle_ordinary: Span,
+    /// How long an idle spot machine is kept.
+    pub idle_spot: Span,
+    /// Log entries between two snapshots.
+    pub snapshot_every: u64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            leader_lease: Span(2500),
+            commit_every: Span(150),
+            idle_ordinary: Span(25_000),
+            idle_spot: Span(12_000),
+            snapshot_every: 200,
+        }
+    }
+}
+
+impl Tuning {
+    /// Reads the operators' INI; unknown sections and names are errors, since they are typing slips.
+    pub fn parse(text: &str) -> Result<Tuning, SettingsError> {
+        let ini = ini::Ini::load_from_str(text).map_err(|e| SettingsError::Ini(e.to_string()))?;
+        let mut tuning = Tuning::default();
+        for (section, properties) in ini.iter() {
+            let section = section.unwrap_or("");
+            for (name, value) in properties.iter() {
+                let path = format!("{section}.{name}");
+                let seconds = |low: f64, high: f64| -> Result<Span, SettingsError> {
+                    match value.parse::<f64>() {
+                        Ok(v) if v >= low && v <= high => Ok(Span::secs(v)),
+                        _ => Err(field(path.clone(), format!("`{value}` is not a time from {low} to {high} seconds"))),
+                    }
+                };
+                match path.as_str() {
+                    "leadership.lease_s" => tuning.leader_lease = seconds(0.5, 60.0)?,
+                    "records.commit_every_s" => tuning.commit_every = seconds(0.02, 2.0)?,
+                    "records.snapshot_entries" => {
+                        tuning.snapshot_every = match value.parse() {
+                            Ok(v) if (10..=100_000).contains(&v) => v,
+                            _ => return Err(field(path, format!("`{value}` is not a count from 10 to 100000"))),
+                        }
+                    }
+                    "fleet.idle_ordinary_s" => tuning.idle_ordinary = seconds(0.0, 86_400.0)?,
+                    "fleet.idle_spot_s" => tuning.idle_spot = seconds(0.0, 86_400.0)?,
+                    _ => return Err(field(path, "not a known setting")),
+                }
+            }
+        }
+        Ok(tuning)
+    }
+}
+
+impl Settings {
+    /// Reads and checks the platform's file and, if named, the operators' INI.
+    pub fn load(file: &Path, operators: Option<&Path>) -> Result<Settings, SettingsError> {
+        let read =
+            |path: &Path| std::fs::read_to_string(path).map_err(|e| SettingsError::Read(path.display().to_string(), e));
+        let mut settings = Settings::parse(&read(file)?)?;
+        if let Some(path) = operators {
+            settings.tuning = Tuning::parse(&read(path)?)?;
+        }
+        Ok(settings)
+    }
+
+    /// Reads and checks the platform's TOML.
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let settings: Settings = toml::from_str(text).map_err(|e| SettingsError::Toml(e.to_string()))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        if self.node.is_empty() {
+            return Err(field("node", "must not be empty"));
+        }
+        let d = &self.deployment;
+        let positive = [
+            ("deployment.workers.report_s", d.workers.report_s),
+            ("deployment.workers.lease_s", d.workers.lease_s),
+            ("deployment.workers.cancel_s", d.workers.cancel_s),
+            ("deployment.state.rps", d.state.rps),
+            ("deployment.state.write_rps", d.state.write_rps),
+            ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.cloud.rps", d.cloud.rps),
+        ];
+        for (name, value) in positive {
+            if !(value.is_finite() && value > 0.0) {
+                return Err(field(name, format!("{value} is not a positive number")));
+            }
+        }
+        if d.state.txn_ops < 2 {
+            return Err(field("deployment.state.txn_ops", "must be at least 2"));
+        }
+        for (i, seed) in self.seeds.iter().enumerate() {
+            if seed.node == self.node || self.seeds[..i].iter().any(|s| s.node == seed.node) {
+                return Err(field(format!("seeds[{i}].node"), format!("`{}` is named twice", seed.node)));
+            }
+        }
+        for (i, team) in d.teams.iter().enumerate() {
+            if d.teams[..i].iter().any(|t| t.name == team.name) {
+                return Err(field(format!("deployment.teams[{i}].name"), format!("`{}` is named twice", team.name)));
+            }
+            for (name, value) in
+                [("cpus", team.cpus), ("cpus_max", team.cpus_max), ("gpus", team.gpus), ("gpus_max", team.gpus_max)]
+            {
+                if !(value.is_finite() && value >= 0.0) {
+                    return Err(field(format!("deployment.teams[{i}].{name}"), format!("{value} is not an amount")));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    /// Settings of a small deployment, for tests everywhere.
+    pub(crate) const SAMPLE: &str = r#"
+        node = "n0"
+        area = "a"
+        api_addr = "127.0.0.1:7000"
+        peer_bind = "127.0.0.1:7001"
+        later = "ignored"
+        [[seeds]]
+        node = "n1"
+        area = "b"
+        address = "127.0.0.1:7003"
+        [external]
+        cloud = "127.0.0.1:7100"
+        state = "127.0.0.1:7101"
+        [deployment]
+        size = 2
+        zones = ["a", "b"]
+        clock_error_ms = 100.0
+        [[deployment.teams]]
+        name = "crew"
+        cpus = 0.0
+        cpus_max = 0.0
+        [[deployment.teams]]
+        name = "small"
+        cpus_max = 4.0
+        [[deployment.objectives]]
+        kind = "wait"
+        class = "live"
+        within_s = 2.0
+        share = 0.9
+        [deployment.workers]
+        report_s = 2.0
+        lease_s = 16.0
+        cancel_s = 41.0
+        [deployment.state]
+        rps = 200.0
+        write_rps = 20.0
+        value_kb = 8.0
+        txn_ops = 16
+        [deployment.cloud]
+        rps = 6.0
+        list_lag_s = 8.0
+        [deployment.resources]
+        cpu = 0.1
+        memory_mb = 56.0
+        fd_limit = 900
+    "#;
+
+    #[test]
+    fn a_wrong_field_is_named() {
+        assert!(Settings::parse(SAMPLE).is_ok());
+        let wrong = SAMPLE.replace("lease_s = 16.0", "lease_s = -1.0");
+        assert!(Settings::parse(&wrong).unwrap_err().to_string().contains("deployment.workers.lease_s"));
+        let missing = SAMPLE.replace("report_s = 2.0", "");
+        assert!(Settings::parse(&missing).unwrap_err().to_string().contains("report_s"));
+        let twice = SAMPLE.replace("node = \"n1\"", "node = \"n0\"");
+        assert!(Settings::parse(&twice).unwrap_err().to_string().contains("seeds[0].node"));
+    }
+
+    #[test]
+    fn the_operators_ini_is_checked() {
+        let tuning = Tuning::parse("[fleet]\nidle_spot_s = 5\n").unwrap();
+        assert_eq!(tuning.idle_spot, Span(5000));
+        assert!(Tuning::parse("[fleet]\nidle_spt_s = 5\n").unwrap_err().to_string().contains("fleet.idle_spt_s"));
+        assert!(
+            Tuning::parse("[leadership]\nlease_s = soon\n").unwrap_err().to_string().contains("leadership.lease_s")
+        );
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,58 @@
+//! Calls to the state service, as the slices ask for them.
+
+use crate::units::{LeaseId, Revision, Span};
+use crate::wire::{Condition, Txn};
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+
+/// A request to the state service.
+#[derive(Debug, Clone)]
+pub enum StateCall {
+    /// Read one key.
+    Get(String),
+    /// Read keys with a prefix, in order, after a key.
+    Scan {
+        /// Prefix.
+        prefix: String,
+        /// Begin after this key.
+        after: Option<String>,
+    },
+    /// Change keys if conditions hold.
+    Txn(Txn),
+    /// Obtain a lease.
+    Grant(Span),
+    /// Renew a lease.
+    Renew(LeaseId),
+}
+
+impl PartialEq for StateCall {
+    fn eq(&self, other: &Self) -> bool {
+        format!("{self:?}") == format!("{other:?}")
+    }
+}
+
+/// An answer over HTTP; status 0 when none came.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// Status code, or 0.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// No answer: the request may have been executed, or may yet be.
+    pub fn none() -> Reply {
+        Reply { status: 0, body: Bytes::new() }
+    }
+
+    /// The body, if it has the expected form.
+    pub fn parse<T: DeserializeOwned>(&self) -> Option<T> {
+        serde_json::from_slice(&self.body).ok()
+    }
+}
+
+/// A condition on a key's revision; 0: the key must not exist.
+pub fn condition(key: &str, version: Revision) -> Condition {
+    Condition { key: key.to_string(), version: version.0 }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,400 @@
+//! The messages of PROTOCOL, with its names at the edge and the field's usual terms inside.
+//!
+//! Unknown fields are ignored everywhere and null equals omitted.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// A worker's report, also the body of its answers to direct commands.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct Report {
+    /// The machine's name.
+    #[serde(rename = "Host")]
+    pub machine: String,
+    /// Where the worker takes direct commands.
+    #[serde(rename = "Endpoint")]
+    pub endpoint: String,
+    /// Machine type.
+    #[serde(rename = "Build")]
+    pub kind: String,
+    /// Zone.
+    #[serde(rename = "Yard")]
+    pub zone: String,
+    /// Whether this is a spot machine.
+    #[serde(rename = "Loaners", default)]
+    pub spot: bool,
+    /// Session.
+    #[serde(rename = "Shift")]
+    pub session: u64,
+    /// Order of messages within the session.
+    #[serde(rename = "Tally")]
+    pub seq: u64,
+    /// Highest token seen.
+    #[serde(rename = "Baton", default)]
+    pub token: u64,
+    /// Seconds until the cloud takes the machine back.
+    #[serde(rename = "RecallS", default)]
+    pub notice_s: Option<f64>,
+    /// All tasks on the machine.
+    #[serde(rename = "Pieces", default)]
+    pub tasks: Option<Vec<ReportedTask>>,
+}
+
+/// One task in a report.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+pub struct ReportedTask {
+    /// Task id.
+    #[serde(rename = "Piece")]
+    pub task: String,
+    /// Attempt.
+    #[serde(rename = "Try")]
+    pub attempt: u64,
+    /// State.
+    #[serde(rename = "Status")]
+    pub state: TaskState,
+    /// Why it exited.
+    #[serde(rename = "Cause", default)]
+    pub cause: Option<Cause>,
+    /// Whether a stopped task's progress was saved.
+    #[serde(rename = "Kept", default)]
+    pub saved: Option<bool>,
+}
+
+/// A task's state on its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TaskState {
+    /// Waiting for its image.
+    Fetching,
+    /// Running.
+    Running,
+    /// Told to stop and saving.
+    Flushing,
+    /// Ended.
+    Exited,
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Halted,
+    /// Failed.
+    Error,
+    /// Refused: no room.
+    Full,
+    /// Refused: another attempt of the task is there.
+    InUse,
+    /// Refused: the worker could not learn about the job.
+    Unknown,
+    /// A word of a later protocol.
+    #[serde(other)]
+    Other,
+}
+
+/// A command to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "Verb", rename_all = "lowercase")]
+pub enum Order {
+    /// Start an attempt.
+    Run {
+        /// Task id.
+        #[serde(rename = "Piece")]
+        task: String,
+        /// Attempt.
+        #[serde(rename = "Try")]
+        attempt: u64,
+    },
+    /// Stop an attempt.
+    Kill {
+        /// Task id.
+        #[serde(rename = "Piece")]
+        task: String,
+        /// Attempt.
+        #[serde(rename = "Try")]
+        attempt: u64,
+        /// Time given for saving.
+        #[serde(rename = "WindDownS")]
+        grace_s: f64,
+    },
+    /// Remove an exited attempt from the reports.
+    Reap {
+        /// Task id.
+        #[serde(rename = "Piece")]
+        task: String,
+        /// Attempt.
+        #[serde(rename = "Try")]
+        attempt: u64,
+    },
+}
+
+/// Answer to a report.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    /// The leader's token.
+    #[serde(rename = "Baton")]
+    pub token: u64,
+    /// Commands, executed in order.
+    #[serde(rename = "Orders")]
+    pub orders: Vec<Order>,
+}
+
+/// Body of `POST /commands`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Commands {
+    /// The leader's token.
+    #[serde(rename = "Baton")]
+    pub token: u64,
+    /// The session that the commands are for.
+    #[serde(rename = "Shift")]
+    pub session: u64,
+    /// Commands, executed in order.
+    #[serde(rename = "Orders")]
+    pub orders: Vec<Order>,
+}
+
+/// A machine type as the cloud lists it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Flavor {
+    /// Name.
+    #[serde(rename = "Label")]
+    pub name: String,
+    /// CPUs.
+    #[serde(rename = "Cores")]
+    pub cpus: f64,
+    /// GPUs.
+    #[serde(rename = "Cards", default)]
+    pub gpus: f64,
+    /// Memory.
+    #[serde(rename = "MemoryGb")]
+    pub memory_gb: f64,
+    /// Image cache.
+    #[serde(rename = "LocalGb", default)]
+    pub cache_gb: f64,
+    /// Image fetch rate.
+    #[serde(rename = "FetchGbPerS", default)]
+    pub fetch_gb_per_s: f64,
+    /// Price per hour.
+    #[serde(rename = "Hourly", default)]
+    pub price: f64,
+    /// Price per hour as a spot machine.
+    #[serde(rename = "MarketPrice", default)]
+    pub spot_price: f64,
+    /// Usual boot time.
+    #[serde(rename = "BootS", default)]
+    pub boot_s: f64,
+    /// Zones that have it.
+    #[serde(rename = "Yards", default)]
+    pub zones: Vec<String>,
+}
+
+/// Answer of `GET /flavors`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Flavors {
+    /// The types.
+    #[serde(rename = "Builds")]
+    pub types: Vec<Flavor>,
+}
+
+/// Body of `POST /hosts`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RentRequest {
+    /// Request name, never used again.
+    #[serde(rename = "Hire")]
+    pub request: String,
+    /// Machine type.
+    #[serde(rename = "Build")]
+    pub kind: String,
+    /// Zone.
+    #[serde(rename = "Yard")]
+    pub zone: String,
+    /// Spot or ordinary.
+    #[serde(rename = "Loaners")]
+    pub spot: bool,
+    /// How many, 50 at most.
+    #[serde(rename = "HowMany")]
+    pub count: u32,
+}
+
+/// Answer of `POST /hosts` and body of `POST /hosts/return`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineNames {
+    /// Machine names.
+    #[serde(rename = "Hosts")]
+    pub machines: Vec<String>,
+}
+
+/// A machine in the cloud's list.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ListedMachine {
+    /// Name.
+    #[serde(rename = "Ref")]
+    pub machine: String,
+    /// Where its worker takes direct commands.
+    #[serde(rename = "Endpoint", default)]
+    pub endpoint: Option<String>,
+    /// Type.
+    #[serde(rename = "Build")]
+    pub kind: String,
+    /// Zone.
+    #[serde(rename = "Yard")]
+    pub zone: String,
+    /// Spot or ordinary.
+    #[serde(rename = "Loaners", default)]
+    pub spot: bool,
+    /// `starting`, `running` or `failed`.
+    #[serde(rename = "Status")]
+    pub state: String,
+    /// Age since the rental request.
+    #[serde(rename = "AgeS", default)]
+    pub age_s: f64,
+}
+
+/// A page of the cloud's list.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineList {
+    /// Machines in order of creation.
+    #[serde(rename = "Hosts")]
+    pub machines: Vec<ListedMachine>,
+    /// Whether there are more.
+    #[serde(rename = "More", default)]
+    pub more: bool,
+}
+
+/// A key as the state service returns it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct KeyValue {
+    /// Key.
+    #[serde(rename = "K", default)]
+    pub key: String,
+    /// Value.
+    #[serde(rename = "V")]
+    pub value: Value,
+    /// Revision of its last change.
+    #[serde(rename = "Stamp")]
+    pub version: u64,
+    /// Lease that holds it.
+    #[serde(rename = "Permit", default)]
+    pub lease: Option<u64>,
+}
+
+/// A page of keys.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct KeyPage {
+    /// Keys in order.
+    #[serde(rename = "Pairs")]
+    pub items: Vec<KeyValue>,
+    /// Whether there are more.
+    #[serde(rename = "More", default)]
+    pub more: bool,
+}
+
+/// A condition of a transaction.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Condition {
+    /// Key.
+    #[serde(rename = "K")]
+    pub key: String,
+    /// Version it must have, 0: it must not exist.
+    #[serde(rename = "Stamp")]
+    pub version: u64,
+}
+
+/// A change of a transaction.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    /// Put a value.
+    Put {
+        /// Key.
+        #[serde(rename = "Write")]
+        key: String,
+        /// Value.
+        #[serde(rename = "V")]
+        value: Value,
+        /// Lease to attach it to.
+        #[serde(rename = "Permit", skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    /// Remove a key.
+    Delete {
+        /// Key.
+        #[serde(rename = "Remove")]
+        key: String,
+    },
+}
+
+/// Body of `POST /txn`.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Txn {
+    /// All must hold.
+    #[serde(rename = "When")]
+    pub conditions: Vec<Condition>,
+    /// Done together.
+    #[serde(rename = "Writes", default)]
+    pub changes: Vec<Change>,
+}
+
+/// Answer of `POST /txn`.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct TxnAnswer {
+    /// The store's revision.
+    #[serde(rename = "Ledger", default)]
+    pub revision: u64,
+    /// Keys whose conditions failed.
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
+/// Body of `POST /leases`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// Life without renewal.
+    #[serde(rename = "LifeMs")]
+    pub ttl_ms: u64,
+}
+
+/// Answer of `POST /leases`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LeaseAnswer {
+    /// The lease.
+    #[serde(rename = "Permit")]
+    pub lease: u64,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn orders_are_written_as_the_protocol_says() {
+        let answer = ReportAnswer {
+            token: 41,
+            orders: vec![
+                Order::Run { task: "job-000412/4".into(), attempt: 2 },
+                Order::Kill { task: "job-000377/1".into(), attempt: 1, grace_s: 10.0 },
+                Order::Reap { task: "job-000398/0".into(), attempt: 1 },
+            ],
+        };
+        let text = serde_json::to_string(&answer).unwrap();
+        assert_eq!(
+            text,
+            r#"{"Baton":41,"Orders":[{"Verb":"run","Piece":"job-000412/4","Try":2},{"Verb":"kill","Piece":"job-000377/1","Try":1,"WindDownS":10.0},{"Verb":"reap","Piece":"job-000398/0","Try":1}]}"#
+        );
+    }
+
+    #[test]
+    fn a_report_may_omit_what_is_null_and_carry_unknown_fields() {
+        let text = r#"{"Host":"m-000231","Endpoint":"10.1.0.232:9000","Build":"g8","Yard":"a","Shift":1,"Tally":88,"New":[1],
+            "Pieces":[{"Piece":"job-000398/0","Try":1,"Status":"exited","Cause":"in_use"},
+                      {"Piece":"job-000398/1","Try":9,"Status":"flushing","Kept":null}]}"#;
+        let report: Report = serde_json::from_str(text).unwrap();
+        let tasks = report.tasks.unwrap();
+        assert_eq!((report.token, report.spot, report.notice_s), (0, false, None));
+        assert_eq!((tasks[0].state, tasks[0].cause), (TaskState::Exited, Some(Cause::InUse)));
+        assert_eq!(tasks[1].state, TaskState::Flushing);
+    }
+}
--- /dev/null
+++ b/src/workers.rs
@@ -0,0 +1,417 @@
+//! What is known of the machines and their tasks, and what they are told.
+//!
+//! A machine is *fenced* once a message of its own says that it has seen this leader's token: from
+//! then on nothing that an earlier leader sent can start or stop a task there.
+
+use crate::records::MachineRecord;
+use crate::units::{Attempt, MachineId, Room, Seq, Session, Span, TaskId, Time, Token};
+use crate::wire::{Cause, Order, Report, TaskState};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most orders in one message: it must stay far below 64 KiB.
+const ORDERS_LIMIT: usize = 300;
+
+/// Whether a machine's enrolment is durable.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Enrolment {
+    /// Not asked for yet.
+    None,
+    /// On its way.
+    Pending,
+    /// Durable: it may get tasks.
+    Durable,
+}
+
+/// How far a task is on its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Ordered; the worker has not shown it yet.
+    Ordered,
+    /// Waiting for its image.
+    Fetching,
+    /// Running.
+    Running,
+    /// Saving after it was stopped.
+    Saving,
+    /// Ended.
+    Exited,
+}
+
+/// Whether a direct command that starts the attempt may still arrive late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// No.
+    None,
+    /// It is under way, with this command number.
+    InFlight(u64),
+    /// It got no answer and may be executed until the session changes.
+    Lost,
+}
+
+/// An attempt that a machine holds, or may hold.
+#[derive(Debug, Clone)]
+pub struct Hold {
+    /// Task.
+    pub task: TaskId,
+    /// How far it is.
+    pub phase: Phase,
+    /// Whether the worker has shown it.
+    pub seen: bool,
+    /// Whether a direct start may arrive late.
+    pub doubt: Doubt,
+    /// Told, or to be told, to stop, with this much time for saving.
+    pub stop: Option<f64>,
+    /// Whether the stop was sent directly.
+    pub stop_sent: bool,
+    /// The worker may forget it (its end is durable or does not matter).
+    pub reapable: bool,
+    /// The task counts as on this machine for its job.
+    pub claimed: bool,
+    /// What it takes.
+    pub need: Room,
+    /// Importance of its job, 0 first.
+    pub rank: u8,
+    /// Its image.
+    pub image: String,
+    /// When it was ordered or found.
+    pub since: Time,
+    /// When it was first seen running.
+    pub running_since: Option<Time>,
+    /// Predicted time from order to end; `None` for services.
+    pub predicted: Option<Span>,
+}
+
+impl Hold {
+    /// Whether it takes room on the machine.
+    pub fn occupies(&self) -> bool {
+        self.phase != Phase::Exited
+    }
+}
+
+/// A direct command that has not been answered.
+#[derive(Debug, Clone, Copy)]
+pub struct Flight {
+    /// Its number.
+    pub id: u64,
+    /// When it was sent.
+    pub sent: Time,
+}
+
+/// A machine whose worker has reported, or that an earlier leader enrolled.
+#[derive(Debug)]
+pub struct Machine {
+    /// What is remembered of it.
+    pub record: MachineRecord,
+    /// Room in all.
+    pub capacity: Room,
+    /// Whether its enrolment is durable.
+    pub enrolment: Enrolment,
+    /// Session of its last message.
+    pub session: Session,
+    /// Order of its last message.
+    pub seq: Seq,
+    /// Whether it has seen this leader's token.
+    pub fenced: bool,
+    /// When it was heard of last.
+    pub heard: Time,
+    /// When a report of it was answered last.
+    pub answered: Time,
+    /// When it came into this leader's view.
+    pub since: Time,
+    /// When the cloud takes it away.
+    pub notice: Option<Time>,
+    /// Attempts that it holds or may hold.
+    pub holds: BTreeMap<Attempt, Hold>,
+    /// Images that it is believed to hold.
+    pub images: BTreeSet<String>,
+    /// Direct command under way.
+    pub flight: Option<Flight>,
+    /// A direct command should be sent soon.
+    pub wants_command: bool,
+    /// Last direct attempt to reach it.
+    pub probed: Time,
+    /// Gets no new tasks; why.
+    pub draining: Option<&'static str>,
+    /// Idle since.
+    pub idle_since: Option<Time>,
+    /// Different jobs that failed here since the last success.
+    pub failed_jobs: BTreeSet<crate::units::JobId>,
+    /// Sum of actual over predicted run times, and how many, to spot slow machines.
+    pub pace: (f64, u32),
+}
+
+/// What a message of a worker showed.
+#[derive(Debug, PartialEq)]
+pub enum Event {
+    /// An attempt that this leader did not know; it is to be claimed or stopped.
+    Found(Attempt, TaskId),
+    /// A claimed attempt began to run.
+    Running(TaskId),
+    /// A claimed attempt ended.
+    Exited {
+        /// Attempt.
+        attempt: Attempt,
+        /// Task.
+        task: TaskId,
+        /// Why.
+        cause: Cause,
+        /// When it had been ordered and how long that was predicted to take.
+        since: Time,
+        /// When it was first seen running.
+        running_since: Option<Time>,
+        /// Predicted time from order to end.
+        predicted: Option<Span>,
+    },
+    /// A claimed attempt is surely gone without an end.
+    Lost(TaskId),
+    /// The machine has now seen this leader's token.
+    Fenced,
+}
+
+impl Machine {
+    /// A machine that came into view.
+    pub fn new(record: MachineRecord, capacity: Room, enrolment: Enrolment, now: Time) -> Machine {
+        Machine {
+            record,
+            capacity,
+            enrolment,
+            session: Session(0),
+            seq: Seq(0),
+            fenced: false,
+            heard: now,
+            answered: now,
+            since: now,
+            notice: None,
+            holds: BTreeMap::new(),
+            images: BTreeSet::new(),
+            flight: None,
+            wants_command: false,
+            probed: Time(0),
+            draining: None,
+            idle_since: None,
+            failed_jobs: BTreeSet::new(),
+            pace: (0.0, 0),
+        }
+    }
+
+    /// Name.
+    pub fn id(&self) -> MachineId {
+        self.record.id
+    }
+
+    /// Whether tasks may be started here, as far as the machine is concerned.
+    pub fn usable(&self) -> bool {
+        self.fenced && self.enrolment == Enrolment::Durable && self.draining.is_none() && self.notice.is_none()
+    }
+
+    /// Room that is not taken.
+    pub fn free(&self) -> Room {
+        let mut free = self.capacity;
+        for hold in self.holds.values().filter(|h| h.occupies()) {
+            free.sub(&hold.need);
+        }
+        free
+    }
+
+    /// Whether it holds another attempt of this task, in any state.
+    pub fn knows(&self, task: TaskId) -> bool {
+        self.holds.values().any(|h| h.task == task)
+    }
+
+    /// Takes a message (report or answer to a command) and says what it showed.
+    ///
+    /// Older messages than the last one change nothing: their task list is as old as they are.
+    pub fn message(&mut self, now: Time, report: &Report, token: Token, out: &mut Vec<Event>) {
+        let (session, seq) = (Session(report.session), Seq(report.seq));
+        if (session, seq) <= (self.session, self.seq) {
+            return;
+        }
+        if session > self.session {
+            if self.session.0 > 0 {
+                // The lease ran out: the worker has killed and forgotten every task, and no direct
+                // command of the earlier session is executed any more.
+                self.drop_holds(out);
+            }
+            self.session = session;
+        }
+        self.seq = seq;
+        self.heard = now;
+        self.record.endpoint.clone_from(&report.endpoint);
+        self.notice = report.notice_s.map(|s| now + Span::secs(s));
+        if report.token == token.0 && !self.fenced {
+            self.fenced = true;
+            // An earlier leader may have renewed the lease up to now, but no longer.
+            self.answered = now;
+            out.push(Event::Fenced);
+        }
+        if !self.fenced {
+            // What is on it can still change by an earlier leader's word.
+            return;
+        }
+        let mut shown = BTreeSet::new();
+        for item in report.tasks.iter().flatten() {
+            let Ok(task) = item.task.parse::<TaskId>() else { continue };
+            let attempt = Attempt(item.attempt);
+            shown.insert(attempt);
+            self.shown(now, attempt, task, item.state, item.cause, out);
+        }
+        let gone: Vec<Attempt> =
+            self.holds.iter().filter(|(a, h)| h.seen && !shown.contains(a)).map(|(a, _)| *a).collect();
+        for attempt in gone {
+            // Reaped, as ordered; a claimed one that vanished is treated as lost.
+            if let Some(hold) = self.holds.remove(&attempt)
+                && hold.claimed
+            {
+                out.push(Event::Lost(hold.task));
+            }
+        }
+    }
+
+    fn shown(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        task: TaskId,
+        state: TaskState,
+        cause: Option<Cause>,
+        out: &mut Vec<Event>,
+    ) {
+        let phase = match state {
+            TaskState::Fetching => Phase::Fetching,
+            TaskState::Running => Phase::Running,
+            TaskState::Flushing => Phase::Saving,
+            TaskState::Exited => Phase::Exited,
+        };
+        if let std::collections::btree_map::Entry::Vacant(slot) = self.holds.entry(attempt) {
+            slot.insert(Hold {
+                task,
+                phase: if phase == Phase::Exited { Phase::Ordered } else { phase },
+                seen: true,
+                doubt: Doubt::None,
+                stop: Some(0.0),
+                stop_sent: false,
+                reapable: true,
+                claimed: false,
+                need: Room::default(),
+                rank: 3,
+                image: String::new(),
+                since: now,
+                running_since: (phase == Phase::Running).then_some(now),
+                predicted: None,
+            });
+            out.push(Event::Found(attempt, task));
+        }
+        let Some(hold) = self.holds.get_mut(&attempt) else { return };
+        hold.seen = true;
+        if hold.phase == phase {
+            return;
+        }
+        hold.phase = phase;
+        match phase {
+            Phase::Running => {
+                hold.running_since = Some(now);
+                if !hold.image.is_empty() {
+                    self.images.insert(hold.image.clone());
+                }
+                if hold.claimed {
+                    out.push(Event::Running(task));
+                }
+            }
+            Phase::Exited => out.push(Event::Exited {
+                attempt,
+                task,
+                cause: cause.unwrap_or(Cause::Other),
+                since: hold.since,
+                running_since: hold.running_since,
+                predicted: hold.predicted,
+            }),
+            _ => {}
+        }
+    }
+
+    /// All attempts are surely gone: the lease is over, or the machine is.
+    pub fn drop_holds(&mut self, out: &mut Vec<Event>) {
+        for (_, hold) in std::mem::take(&mut self.holds) {
+            if hold.claimed {
+                out.push(Event::Lost(hold.task));
+            }
+        }
+        self.flight = None;
+        self.images.clear();
+    }
+
+    /// The orders for a report's answer, which is never executed late.
+    ///
+    /// What the worker has not shown is ordered again: `run` of an attempt that it holds has no
+    /// effect. An attempt that is to be stopped unseen gets `run` before `kill`, so that the worker
+    /// knows it, and a late copy of the direct `run` finds it exited.
+    pub fn orders(&self) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for (attempt, hold) in &self.holds {
+            let (task, attempt) = (hold.task.to_string(), attempt.0);
+            if hold.phase == Phase::Exited {
+                if hold.reapable && hold.doubt == Doubt::None {
+                    orders.push(Order::Reap { task, attempt });
+                }
+                continue;
+            }
+            if !hold.seen {
+                orders.push(Order::Run { task: task.clone(), attempt });
+            }
+            if let Some(grace_s) = hold.stop
+                && hold.phase != Phase::Saving
+            {
+                orders.push(Order::Kill { task, attempt, grace_s });
+            }
+            if orders.len() >= ORDERS_LIMIT {
+                break;
+            }
+        }
+        orders
+    }
+
+    /// The orders for a direct command: starts that were not sent and stops of what was seen.
+    pub fn direct_orders(&mut self, command: u64) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for (attempt, hold) in &mut self.holds {
+            let (task, attempt) = (hold.task.to_string(), attempt.0);
+            match hold.stop {
+                None if !hold.seen && hold.doubt == Doubt::None && hold.phase == Phase::Ordered => {
+                    hold.doubt = Doubt::InFlight(command);
+                    orders.push(Order::Run { task, attempt });
+                }
+                Some(grace_s) if hold.seen && hold.occupies() && !hold.stop_sent => {
+                    hold.stop_sent = true;
+                    orders.push(Order::Kill { task, attempt, grace_s });
+                }
+                _ => {}
+            }
+            if orders.len() >= ORDERS_LIMIT {
+                break;
+            }
+        }
+        orders
+    }
+
+    /// A direct command was answered (`answered`) or may still be executed.
+    pub fn command_over(&mut self, command: u64, answered: bool) {
+        if self.flight.is_some_and(|f| f.id == command) {
+            self.flight = None;
+        }
+        for hold in self.holds.values_mut().filter(|h| h.doubt == Doubt::InFlight(command)) {
+            hold.doubt = if answered { Doubt::None } else { Doubt::Lost };
+        }
+    }
+
+    /// Orders a claimed attempt to stop.
+    pub fn stop(&mut self, attempt: Attempt, grace_s: f64) {
+        if let Some(hold) = self.holds.get_mut(&attempt)
+            && hold.occupies()
+            && hold.stop.is_none_or(|g| g > grace_s)
+        {
+            hold.stop = Some(grace_s);
+            hold.stop_sent = false;
+            self.wants_command = true;
+        }
+    }
+}
