--- a/benches/plan.rs
+++ b/benches/plan.rs
@@ -1,7 +1,7 @@
 //! What a plan costs: a controller has a tenth of a core. `cargo bench` compares with the last run.
 
 use caperstile::intake::{JobBook, parse_job};
-use caperstile::plan::{Entry, Order, Plans, Server, World};
+use caperstile::plan::{Entry, Order, Plans, Profile, Server, World, Zones};
 use caperstile::records::Record;
 use caperstile::units::{JobId, MachineId, Room, Span, Time, Wall};
 use criterion::{Criterion, criterion_group, criterion_main};
@@ -11,22 +11,27 @@
 struct Like;
 
 impl World for Like {
-    fn predict(&self, _: JobId, server: &Server) -> Option<Span> {
-        Some(Span(30_000 + server.id.0 * 10))
+    fn profile(&self, _: JobId) -> Option<Profile> {
+        let kinds = vec![Some((Span(30_000), Span(34_000)))];
+        Some(Profile { kinds, zone: None, spot: true, avoid: Vec::new(), image: 1 })
     }
-    fn zone_room(&self, _: JobId, _: usize, _: &BTreeMap<usize, u32>) -> u32 {
-        u32::MAX
+    fn zones(&self, _: JobId, _: &BTreeMap<usize, u32>) -> Zones {
+        Zones { left: vec![u32::MAX], together: false }
     }
 }
 
-fn machines() -> Plans {
+/// Machines of 32 CPUs, each with tasks that end one by one.
+fn machines(count: u64, busy: u64) -> Plans {
     let mut plans = Plans::default();
-    for id in 0..40 {
-        let free = Room { cpus: 32_000, gpus: 0, memory: 128_000 };
-        let (soft, releases, queue) = (Room::default(), Vec::new(), Vec::new());
-        let server = Server { id: MachineId(id), zone: 0, ready: Time(0), bias: (0, 0), free, soft, releases, queue };
-        plans.refresh(Time(0), server);
-    }
+    let room = |tasks: u64| Room { cpus: 2000 * tasks, gpus: 0, memory: 6000 * tasks };
+    let server = |id: u64| Server {
+        id: MachineId(id),
+        free: room(16 - busy),
+        releases: (0..busy).map(|n| (Time(5000 * n + id * 7), room(1))).collect(),
+        images: if id.is_multiple_of(2) { vec![1] } else { vec![] },
+        ..Server::default()
+    };
+    plans.admit(Time(0), (0..count).map(server).collect());
     plans
 }
 
@@ -46,14 +51,14 @@
 fn plan(c: &mut Criterion) {
     c.bench_function("a burst of 40 jobs of 14 tasks on 40 machines", |b| {
         b.iter(|| {
-            let mut plans = machines();
+            let mut plans = machines(40, 0);
             for seq in 0..40 {
                 black_box(plans.place(Time(0), job(seq), 14, &Like));
             }
         });
     });
     c.bench_function("one more job behind a burst", |b| {
-        let mut plans = machines();
+        let mut plans = machines(40, 0);
         for seq in 0..60 {
             plans.place(Time(0), job(seq), 14, &Like);
         }
@@ -64,6 +69,27 @@
     });
 }
 
+/// The grown size: one job at a time on a thousand busy machines, with queues and without.
+fn grown(c: &mut Criterion) {
+    c.bench_function("a job of 70 tasks on 1,000 busy machines", |b| {
+        let mut plans = machines(1000, 15);
+        b.iter(|| {
+            black_box(plans.place(Time(0), job(1000), 70, &Like));
+            plans.remove_job(JobId(1000));
+        });
+    });
+    c.bench_function("a job of 70 tasks behind a backlog on 1,000 full machines", |b| {
+        let mut plans = machines(1000, 16);
+        for seq in 0..100 {
+            plans.place(Time(0), job(seq), 100, &Like);
+        }
+        b.iter(|| {
+            black_box(plans.place(Time(0), job(1000), 70, &Like));
+            plans.remove_job(JobId(1000));
+        });
+    });
+}
+
 fn intake(c: &mut Criterion) {
     let body = br#"{"Ref":"job-000412","Lane":"render","Crew":"crew","Shape":"batch","Rank":"urgent","Pieces":16,
         "Cores":8.0,"Cards":1.0,"MemoryGb":64.0,"Reel":"img-07","ImageGb":6.2,"Builds":["g8"],"Yard":null,"Together":true,
@@ -74,5 +100,5 @@
     c.bench_function("a poll of a job that is over", |b| b.iter(|| black_box(book.state(JobId(5000)))));
 }
 
-criterion_group!(benches, plan, intake);
+criterion_group!(benches, plan, grown, intake);
 criterion_main!(benches);
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -9,7 +9,7 @@
 use crate::reign::Reign;
 use crate::settings::Settings;
 use crate::store::{Reply, StateCall};
-use crate::units::{MachineId, Span, Time, Wall};
+use crate::units::{MachineId, Span, Time, Token, Wall};
 use crate::wire::{Commands, Report};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde_json::json;
@@ -54,6 +54,8 @@
     Forwarded(u64, Answer),
     /// The link to a node is up or down.
     Link(String, bool),
+    /// A node says that it leads, under this token.
+    Leads(String, Token),
 }
 
 /// What a node wants done.
@@ -80,6 +82,8 @@
     },
     /// Forward a user's request to the leader.
     Forward(String, u64, UserCall),
+    /// Tell the other nodes that this one leads, under this token.
+    Announce(Token),
 }
 
 #[derive(Debug)]
@@ -104,6 +108,10 @@
 const PARKED_LIMIT: usize = 400;
 /// A follower that cannot reach the leader for so long cannot take requests.
 const CUT_OFF: Span = Span(6000);
+/// Without an answer of the state service for so long, it is down or out of reach.
+const NO_STATE: Span = Span(1500);
+/// How often a leader tells the other nodes so.
+const ANNOUNCE_EVERY: Span = Span(1000);
 
 /// A node.
 pub struct Controller {
@@ -116,6 +124,7 @@
     links: HashSet<String>,
     ready: bool,
     reachable: Time,
+    announced: Time,
 }
 
 /// 503: come back after so many seconds.
@@ -138,6 +147,7 @@
             links: HashSet::new(),
             ready: false,
             reachable: Time(0),
+            announced: Time(0),
         }
     }
 
@@ -179,8 +189,14 @@
                     out.push(Effect::Answer(forward.origin, answer));
                 }
             }
+            Input::Leads(node, token) => {
+                let mut events = Vec::new();
+                self.leadership.told(now, node, token, &mut events);
+                self.led(now, wall, events, &mut out);
+            }
             Input::Link(node, true) => {
                 self.links.insert(node);
+                self.announced = Time(0);
                 self.unpark(now, wall, &mut out);
             }
             Input::Link(node, false) => {
@@ -230,6 +246,7 @@
                 leadership::Event::Call(id, call) => out.push(Effect::State(Slot::Leadership, id, call)),
                 leadership::Event::Elected(token) => {
                     self.ready = true;
+                    self.announced = Time(0);
                     let mut reign = Reign::new(token, now, &self.settings);
                     reign.start(now, wall, out);
                     self.reign = Some(reign);
@@ -259,6 +276,10 @@
             reign.tick(now, wall, certain, out);
         }
         self.check_reign(now, out);
+        if let Some(reign) = self.reign.as_ref().filter(|_| certain && now.since(self.announced) >= ANNOUNCE_EVERY) {
+            self.announced = now;
+            out.push(Effect::Announce(reign.token()));
+        }
         if self.reign.as_ref().is_some_and(Reign::loaded) && !self.parked.is_empty() {
             self.unpark(now, wall, out);
         }
@@ -279,14 +300,23 @@
             Some(leader) => leader == self.settings.node || self.links.contains(leader),
             None => true,
         };
-        let state_answers = self.leadership.answered.is_some_and(|at| now.since(at) < Span(1500));
-        if linked || !state_answers {
+        if linked || !self.state_answers(now) {
             self.reachable = now;
         }
     }
 
+    fn state_answers(&self, now: Time) -> bool {
+        self.leadership.answered.is_some_and(|at| now.since(at) < NO_STATE)
+    }
+
+    /// Whether this node has neither the state service nor any other node: unlike in an outage, others
+    /// most likely go on without it, and what it knows may be outdated.
+    fn cornered(&self, now: Time) -> bool {
+        !self.settings.seeds.is_empty() && self.links.is_empty() && !self.state_answers(now)
+    }
+
     fn up(&self, now: Time) -> Answer {
-        if self.ready && now.since(self.reachable) < CUT_OFF {
+        if self.ready && !self.cornered(now) && now.since(self.reachable) < CUT_OFF {
             Answer { status: 200, retry_after: 0, body: "{}".into() }
         } else {
             unavailable("not ready")
@@ -310,7 +340,7 @@
             self.forwards.insert(id, Forward { origin, call, until: now + FORWARD_TIMEOUT, node: leader });
             return;
         }
-        if now >= until || self.parked.len() >= PARKED_LIMIT || !self.ready {
+        if now >= until || self.parked.len() >= PARKED_LIMIT || !self.ready || self.cornered(now) {
             out.push(Effect::Answer(origin, unavailable("no leader")));
         } else {
             self.parked.push_back(Parked { origin, call, until });
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -71,6 +71,8 @@
     list_lag: Span,
     in_flight: BTreeMap<u64, InFlight>,
     booting: BTreeMap<MachineId, Booting>,
+    /// Machines came to `booting`, or machine types became known, since `take_news`.
+    news: bool,
     /// Places that refused lately, until when, and the last pause.
     refused: HashMap<Place, (Time, Span)>,
     returning: BTreeSet<MachineId>,
@@ -80,6 +82,8 @@
 const CALL_TIMEOUT: Span = Span(5000);
 const FLAVORS_EVERY: Span = Span(30_000);
 const LIST_EVERY: Span = Span(5000);
+/// Most machines that one request rents.
+pub const RENT_LIMIT: u32 = 50;
 
 impl Fleet {
     /// A new leader's view: it knows nothing yet.
@@ -97,6 +101,7 @@
             list_lag: Span::secs(limits.list_lag_s),
             in_flight: BTreeMap::new(),
             booting: BTreeMap::new(),
+            news: false,
             refused: HashMap::new(),
             returning: BTreeSet::new(),
             gone: BTreeSet::new(),
@@ -115,6 +120,10 @@
     pub fn booting(&self) -> impl Iterator<Item = (&MachineId, &Booting)> {
         self.booting.iter().filter(|(id, _)| !self.returning.contains(id))
     }
+    /// Whether machines on their way or machine types have come since this was asked last.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.news)
+    }
     /// One machine on its way.
     pub fn booting_one(&self, id: MachineId) -> Option<&Booting> {
         self.booting.get(&id)
@@ -136,6 +145,16 @@
         self.refused.get(place).is_some_and(|(until, _)| now < *until)
     }
 
+    /// Whether all spot machines, wherever they might be, were refused lately.
+    pub fn spot_refused(&self, now: Time) -> bool {
+        let mut places = self.flavors.iter().flatten().flat_map(|f| f.zones.iter().map(move |z| (f, z)));
+        places.all(|(f, z)| self.refused(&(f.name.clone(), z.clone(), true), now))
+    }
+    /// How many calls may be made now, two kept for what is urgent.
+    pub fn calls_left(&self) -> usize {
+        (self.budget - 2.0).max(1.0) as usize
+    }
+
     /// A machine's worker reported: it is up. Says when it was rented, if that is known.
     pub fn up(&mut self, id: MachineId) -> Option<Time> {
         self.booting.remove(&id).map(|b| b.since)
@@ -144,6 +163,7 @@
     /// A machine that an earlier leader rented.
     pub fn inherit(&mut self, id: MachineId, booting: Booting) {
         self.booting.insert(id, booting);
+        self.news = true;
     }
 
     /// Rents machines.
@@ -156,7 +176,7 @@
             kind: place.0.clone(),
             zone: place.1.clone(),
             spot: place.2,
-            count: count.min(50),
+            count: count.min(RENT_LIMIT),
         });
         self.call(now, call, out);
     }
@@ -252,6 +272,7 @@
                 for id in names.iter().filter_map(|n| n.parse::<MachineId>().ok()) {
                     if !known(id) && !self.gone.contains(&id) {
                         self.booting.insert(id, booting.clone());
+                        self.news = true;
                         fresh.push(id);
                     }
                 }
@@ -310,6 +331,7 @@
                     let age = Span::secs(item.age_s) + self.list_lag;
                     let since = Time(now.0.saturating_sub(age.0));
                     self.booting.insert(id, Booting { kind: item.kind, zone: item.zone, spot: item.spot, since });
+                    self.news = true;
                 }
                 _ => {}
             }
@@ -367,12 +389,12 @@
 
 /// Which machines to rent for what waits: the cheapest per task, spread over zones.
 ///
-/// `zones` counts the ordinary CPUs per zone that there are already.
+/// `zones` counts the CPUs per zone and kind (spot or not) that there are already.
 pub fn choose(
     demands: &[Demand],
     flavors: &[Flavor],
     refused: &dyn Fn(&Place) -> bool,
-    zones: &mut BTreeMap<String, u64>,
+    zones: &mut BTreeMap<(String, bool), u64>,
 ) -> BTreeMap<Place, u32> {
     let mut bought: Vec<(Place, Room)> = Vec::new();
     for demand in demands {
@@ -409,7 +431,7 @@
                         }
                         let price = if spot { flavor.spot_price } else { flavor.price };
                         let cost = (price / f64::from(take) * 1e6) as u64;
-                        let key = (cost, if spot { 0 } else { zones.get(zone).copied().unwrap_or(0) });
+                        let key = (cost, zones.get(&(zone.clone(), spot)).copied().unwrap_or(0));
                         if best.as_ref().is_none_or(|(other, ..)| key < *other) {
                             best = Some((key, place, room, take));
                         }
@@ -423,11 +445,9 @@
             }
             left -= take;
             *per_zone.entry(place.1.clone()).or_insert(0) += take;
-            if !place.2 {
-                *zones.entry(place.1.clone()).or_insert(0) += room.cpus;
-            }
+            *zones.entry((place.1.clone(), place.2)).or_insert(0) += room.cpus;
             bought.push((place, free));
-            if bought.len() >= 200 {
+            if bought.len() >= 400 {
                 break;
             }
         }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -2,11 +2,11 @@
 
 use crate::records::Record;
 use crate::settings::Team;
-use crate::units::{Attempt, JobId, MachineId, Ranges, Room, Span, Time, Wall};
+use crate::units::{Attempt, JobId, MachineId, Ranges, Room, Span, TaskId, Time, Wall};
 use crate::wire::Flavor;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
 /// Longest name of a class, team, image, type or zone that is taken.
@@ -256,6 +256,8 @@
     pub record: Rc<JobRecord>,
     /// Order of arrival.
     pub seq: u64,
+    /// Its rank, or a better one when nothing of it has begun for long, until something has.
+    pub urgency: u8,
     /// When it was submitted, by this process's clock.
     pub submitted: Time,
     /// Whether its acceptance is durable.
@@ -285,6 +287,10 @@
     pub fn deadline(&self) -> Time {
         self.record.deadline.map_or(Time::NEVER, |d| self.submitted + d)
     }
+    /// Whether it has a better rank than its own.
+    pub fn promoted(&self) -> bool {
+        self.urgency != self.record.rank
+    }
     fn running(&self) -> usize {
         self.placed.values().filter(|p| p.running).count()
     }
@@ -304,6 +310,9 @@
 pub struct JobBook {
     live: BTreeMap<JobId, Job>,
     finals: HashMap<JobId, Final>,
+    /// Jobs with tasks that are on no machine, most important first; others may be among them until
+    /// `settle_waiting`.
+    waiting: BTreeSet<(u8, u64, JobId)>,
     seq: u64,
 }
 
@@ -344,11 +353,43 @@
         self.finals.len()
     }
 
+    /// Jobs with tasks that are on no machine, most important first.
+    pub fn waiting(&self) -> impl Iterator<Item = &Job> {
+        self.waiting.iter().filter_map(|(.., id)| self.live.get(id)).filter(|j| !j.pending.is_empty())
+    }
+
+    /// Forgets as waiting what does not wait any more.
+    pub fn settle_waiting(&mut self) {
+        let live = &self.live;
+        self.waiting.retain(|(.., id)| live.get(id).is_some_and(|j| !j.pending.is_empty()));
+    }
+
+    /// A task is on no machine any more: it waits again, unless it is done.
+    pub fn waits_again(&mut self, task: TaskId) {
+        if let Some(job) = self.live.get_mut(&task.job)
+            && !job.done.contains(task.index)
+        {
+            job.pending.insert(task.index);
+            self.waiting.insert((job.urgency, job.seq, task.job));
+        }
+    }
+
+    /// Gives a job another rank among those that wait.
+    pub fn promote(&mut self, id: JobId, urgency: u8) {
+        if let Some(job) = self.live.get_mut(&id) {
+            self.waiting.remove(&(job.urgency, job.seq, id));
+            job.urgency = urgency;
+            self.waiting.insert((urgency, job.seq, id));
+        }
+    }
+
     /// Enters a job whose acceptance is not durable yet.
     pub fn enter(&mut self, record: JobRecord, now: Time, ours: bool) {
         self.seq += 1;
+        self.waiting.insert((record.rank, self.seq, record.id));
         let job = Job {
             seq: self.seq,
+            urgency: record.rank,
             submitted: now,
             durable: false,
             ours,
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -68,6 +68,8 @@
     token: Option<Token>,
     valid_until: Time,
     known: Option<String>,
+    /// The highest token of another node that was heard of.
+    heard: Token,
     eager_until: Time,
     /// When the state service answered last.
     pub answered: Option<Time>,
@@ -93,6 +95,7 @@
             token: None,
             valid_until: Time(0),
             known: None,
+            heard: Token(0),
             eager_until: Time(0),
             answered: None,
         }
@@ -121,6 +124,19 @@
         }
     }
 
+    /// Another node says that it leads. It may know sooner than the state service tells, or this node
+    /// may have no answer from there at all.
+    pub fn told(&mut self, now: Time, node: String, token: Token, out: &mut Vec<Event>) {
+        if token <= self.heard || node == self.me.node || self.token.is_some_and(|mine| mine > token) {
+            return;
+        }
+        self.heard = token;
+        if self.token.is_some() {
+            self.step_down(now, "another node leads", out);
+        }
+        self.set_known(Some(node), out);
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Event>) {
         if let Some(call) = self.in_flight {
@@ -241,7 +257,11 @@
             info!("replacing the key of this node's earlier incarnation revision={}", kv.version);
             self.campaign(now, kv.version, out);
         } else {
-            self.set_known(Some(holder.node), out);
+            // What the key said may be older than what its next holder told.
+            if kv.version >= self.heard.0 {
+                self.heard = Token(kv.version);
+                self.set_known(Some(holder.node), out);
+            }
             // With its link gone the leader is likely dead: its lease ends soon.
             let eager = self.eager_until > now;
             self.next = now + if eager { self.pause(50, 100) } else { self.pause(200, 300) };
@@ -359,6 +379,25 @@
         assert_eq!(out, [Event::Leader(Some("n1".into()))]);
     }
 
+    /// A leader without the state service learns from its successor that it leads no more, and a node
+    /// that hears both believes the later one, in whatever order the words come.
+    #[test]
+    fn the_word_of_a_later_leader_counts_and_that_of_an_earlier_one_does_not() {
+        let (mut n, mut out) = (node("n0", 7), Vec::new());
+        n.tick(Time(0), &mut out);
+        for body in [(404, json!({})), (200, json!({"Permit": 4})), (200, json!({"Ledger": 9}))] {
+            let id = n.in_flight.unwrap().id;
+            n.reply(Time(1), id, &answer(body.0, body.1), &mut out);
+        }
+        out.clear();
+        n.told(Time(5), "n1".into(), Token(8), &mut out);
+        assert_eq!((n.token(), out.len()), (Some(Token(9)), 0));
+        n.told(Time(6), "n2".into(), Token(12), &mut out);
+        assert_eq!(out, [Event::SteppedDown("another node leads"), Event::Leader(Some("n2".into()))]);
+        n.told(Time(7), "n1".into(), Token(8), &mut out);
+        assert_eq!(n.leader(), Some("n2"));
+    }
+
     #[test]
     fn an_outage_leaves_the_leader_in_doubt_and_a_lost_lease_ends_it() {
         let (mut n, mut out) = (node("n0", 7), Vec::new());
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -23,6 +23,8 @@
     Withdraw = 3,
     /// An answer.
     Answer = 4,
+    /// The sender leads; `id` is its token.
+    Leads = 5,
 }
 
 /// The fixed part of a frame, as it lies on the wire.
@@ -77,6 +79,8 @@
     Request(u64, UserCall),
     /// The answer to the request with this number.
     Answer(u64, Answer),
+    /// The node of this name leads, under this token.
+    Leads(u64, String),
 }
 
 /// A frame that does not have the layout.
@@ -91,6 +95,7 @@
             Frame::Request(id, UserCall::Submit(body)) => (Kind::Submit, *id, 0, 0, body),
             Frame::Request(id, UserCall::Get(name)) => (Kind::Get, *id, 0, 0, name.as_bytes()),
             Frame::Request(id, UserCall::Withdraw(name)) => (Kind::Withdraw, *id, 0, 0, name.as_bytes()),
+            Frame::Leads(token, node) => (Kind::Leads, *token, 0, 0, node.as_bytes()),
             Frame::Answer(id, a) => (Kind::Answer, *id, a.status, a.retry_after, a.body.as_bytes()),
         };
         let header = Header {
@@ -125,6 +130,7 @@
             k if k == Kind::Submit as u8 => Frame::Request(id, UserCall::Submit(body)),
             k if k == Kind::Get as u8 => Frame::Request(id, UserCall::Get(text(body)?)),
             k if k == Kind::Withdraw as u8 => Frame::Request(id, UserCall::Withdraw(text(body)?)),
+            k if k == Kind::Leads as u8 => Frame::Leads(id, text(body)?),
             k if k == Kind::Answer as u8 => Frame::Answer(
                 id,
                 Answer { status: header.status.get(), retry_after: header.retry_after.get(), body: text(body)? },
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -6,11 +6,14 @@
 
 use crate::units::{JobId, MachineId, Room, Span, Time};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
 /// Tasks that one machine's queue holds at the most; what lies further off waits unplanned.
 pub const QUEUE_LIMIT: u32 = 64;
 
+/// Tasks that are submitted again at the most when machines come, unless these take more.
+const REPLANNED: usize = 500;
+
 /// Differences of predicted ends below these do not decide between machines: predictions are less
 /// exact than that. Services are told apart finely, since a cached image is certain.
 const FINE: u64 = 200;
@@ -50,14 +53,20 @@
 }
 
 /// A machine as the plan sees it.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Server {
     /// The machine.
     pub id: MachineId,
     /// Its zone, as an index.
     pub zone: usize,
+    /// Its type, as an index.
+    pub kind: usize,
+    /// Spot or ordinary.
+    pub spot: bool,
     /// When it can start tasks (later than now while it boots).
     pub ready: Time,
+    /// It starts nothing before this time from now on: an overdue boot is not over at once.
+    pub slack: Span,
     /// Among machines that are as good, the one with the smaller value is taken, for endless and
     /// for other tasks: cheap and already used ones first.
     pub bias: (u64, u64),
@@ -67,26 +76,81 @@
     pub soft: Room,
     /// Room that running tasks are predicted to give back.
     pub releases: Vec<(Time, Room)>,
+    /// Images that it holds or fetches, in order.
+    pub images: Vec<Image>,
     /// Tasks that wait for this machine, most important first.
     pub queue: Vec<Entry>,
+    /// How many tasks that is.
+    pub waiting: u32,
 }
 
-/// What the plan asks about tasks and machines.
-pub trait World {
-    /// The predicted time of a task of this job on this machine; `None` if it cannot run there.
-    fn predict(&self, job: JobId, server: &Server) -> Option<Span>;
-    /// How many tasks of a tied job may still be added in this zone, given those that run.
-    fn zone_room(&self, job: JobId, zone: usize, planned: &BTreeMap<usize, u32>) -> u32;
+/// An image, as an index.
+pub type Image = u32;
+
+/// What decides where a job's tasks may run and how long they take there; made once per job, so that
+/// looking at a machine costs a few comparisons.
+#[derive(Debug, Clone)]
+pub struct Profile {
+    /// By type of machine: the predicted time where the image is, and where it is not; `None`: not there.
+    pub kinds: Vec<Option<(Span, Span)>>,
+    /// The only allowed zone.
+    pub zone: Option<usize>,
+    /// Whether spot machines will do.
+    pub spot: bool,
+    /// Machines on which its tasks failed.
+    pub avoid: Vec<MachineId>,
+    /// Its image.
+    pub image: Image,
 }
 
-/// What inserting a task would do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Outcome {
-    finish: Time,
-    /// Tasks that finish past their deadline, the new one not counted.
-    late: u32,
+impl Profile {
+    /// The predicted time on this machine; `None` if the tasks cannot run there.
+    pub fn predict(&self, server: &Server) -> Option<Span> {
+        let (cached, fetched) = (*self.kinds.get(server.kind)?)?;
+        let allowed = (self.spot || !server.spot)
+            && self.zone.is_none_or(|z| z == server.zone)
+            && !self.avoid.contains(&server.id);
+        allowed.then(|| if server.images.binary_search(&self.image).is_ok() { cached } else { fetched })
+    }
+}
+
+/// Where tasks of a tied job may still be added.
+#[derive(Debug, Clone, Default)]
+pub struct Zones {
+    /// How many in each zone.
+    pub left: Vec<u32>,
+    /// Whether one task in a zone rules the others out.
+    pub together: bool,
+}
+
+impl Zones {
+    fn room(&self, zone: usize) -> bool {
+        self.left.get(zone).is_some_and(|n| *n > 0)
+    }
+
+    fn take(&mut self, zone: usize) {
+        for (z, left) in self.left.iter_mut().enumerate() {
+            if z == zone {
+                *left = left.saturating_sub(1);
+            } else if self.together {
+                *left = 0;
+            }
+        }
+    }
 }
 
+/// What the plan asks about jobs.
+pub trait World {
+    /// Where tasks of this job may run; `None` for a job that is not known.
+    fn profile(&self, job: JobId) -> Option<Profile>;
+    /// Where tasks of a tied job may be added, given those that run and, by zone, those planned.
+    fn zones(&self, job: JobId, planned: &BTreeMap<usize, u32>) -> Zones;
+}
+
+/// What inserting a task would do, in the order in which machines are preferred: whether it misses its
+/// deadline, how many others it pushes past theirs, its end, and the machine's bias.
+type Rating = (bool, u32, u64, u64);
+
 /// Which parts of the design are in force; all of them but for ablations.
 #[derive(Debug, Clone, Copy)]
 pub struct Parts {
@@ -102,11 +166,23 @@
     }
 }
 
+/// Where a job's tasks wait.
+#[derive(Debug)]
+struct Waiting {
+    order: Order,
+    count: u32,
+    at: BTreeMap<MachineId, u32>,
+}
+
 /// All machines' queues.
 #[derive(Debug, Default)]
 pub struct Plans {
     servers: BTreeMap<MachineId, Server>,
-    planned: HashMap<JobId, u32>,
+    planned: HashMap<JobId, Waiting>,
+    /// Jobs with tasks in queues, most important first.
+    ordered: BTreeSet<(Order, JobId)>,
+    /// Machines whose room or queue has changed since `take_touched`.
+    touched: BTreeSet<MachineId>,
     /// Parts of the design in force.
     pub parts: Parts,
 }
@@ -122,37 +198,73 @@
         self.servers.get(&id)
     }
 
-    /// Adds a machine or brings up to date what is known of it; its queue stays.
-    ///
-    /// A machine that is new gets the tasks that would start later elsewhere submitted again.
-    pub fn refresh(&mut self, now: Time, fresh: Server) {
-        if let Some(server) = self.servers.get_mut(&fresh.id) {
-            let queue = std::mem::take(&mut server.queue);
-            *server = Server { queue, ..fresh };
-            return;
-        }
-        self.unplan(now, |_, start| start.is_none_or(|at| at > fresh.ready + Span(1000)));
-        self.servers.insert(fresh.id, fresh);
+    /// Machines whose room or queue has changed since this was asked last.
+    pub fn take_touched(&mut self) -> BTreeSet<MachineId> {
+        std::mem::take(&mut self.touched)
     }
 
-    /// Takes tasks out that will never start where they wait, because services have taken the room,
-    /// and services that would wait: room may have come up elsewhere, or may be made there.
-    pub fn release_stuck(&mut self, now: Time) {
-        self.unplan(now, |entry, start| start.is_none_or(|at| entry.endless && at > now + Span(1000)));
+    /// Brings what is known of a machine up to date, its queue stays; false if it is new.
+    pub fn refresh(&mut self, fresh: Server) -> bool {
+        self.touched.insert(fresh.id);
+        let Some(server) = self.servers.get_mut(&fresh.id) else { return false };
+        let (queue, waiting) = (std::mem::take(&mut server.queue), server.waiting);
+        *server = Server { queue, waiting, ..fresh };
+        true
     }
 
-    /// Takes the waiting tasks out of all queues that `which` picks by their predicted start.
-    fn unplan(&mut self, now: Time, which: impl Fn(&Entry, Option<Time>) -> bool) {
-        let ids: Vec<MachineId> = self.servers.values().filter(|s| !s.queue.is_empty()).map(|s| s.id).collect();
+    /// Adds new machines. Tasks that would start later elsewhere are submitted again; if there are very
+    /// many of them the most important ones, as many as the new machines take in two turns.
+    pub fn admit(&mut self, now: Time, fresh: Vec<Server>) {
+        let Some(ready) = fresh.iter().map(|s| s.ready).min() else { return };
+        let mut room = 2 * fresh.iter().map(|s| s.free.cpus).sum::<u64>();
+        let mut later: Vec<(Entry, MachineId)> = Vec::new();
+        for server in self.servers.values().filter(|s| !s.queue.is_empty()) {
+            walk(server, now, None, |entry, start, _| {
+                if start.is_none_or(|at| at > ready + Span(1000)) {
+                    later.push((*entry, server.id));
+                }
+            });
+        }
+        later.sort_unstable_by_key(|(entry, id)| (entry.order, *id));
+        for (n, (entry, id)) in later.into_iter().enumerate() {
+            if n >= REPLANNED && entry.need.cpus > room {
+                break;
+            }
+            room = room.saturating_sub(entry.need.cpus);
+            self.withdraw(id, entry.job);
+        }
+        for server in fresh {
+            self.touched.insert(server.id);
+            self.servers.insert(server.id, server);
+        }
+    }
+
+    /// Takes tasks out of these machines' queues that will never start where they wait, because
+    /// services have taken the room, and services that would wait for room on a machine that is up:
+    /// room may have come up elsewhere, or may be made there.
+    pub fn release_stuck(&mut self, now: Time, ids: impl Iterator<Item = MachineId>) {
         for id in ids {
-            for (entry, _) in self.starts(id, now).iter().filter(|(entry, start)| which(entry, *start)) {
-                if let Some(at) = self.servers[&id].queue.iter().rposition(|e| e.job == entry.job) {
-                    self.take(id, at);
+            let Some(server) = self.servers.get(&id).filter(|s| !s.queue.is_empty()) else { continue };
+            let mut stuck = Vec::new();
+            let up = server.start_time(now) <= now + Span(500);
+            walk(server, now, None, |entry, start, _| {
+                if start.is_none_or(|at| up && entry.endless && at > now + Span(1000)) {
+                    stuck.push(entry.job);
                 }
+            });
+            for job in stuck {
+                self.withdraw(id, job);
             }
         }
     }
 
+    /// Takes the last waiting task of this job out of a machine's queue.
+    fn withdraw(&mut self, id: MachineId, job: JobId) {
+        if let Some(at) = self.servers.get(&id).and_then(|s| s.queue.iter().rposition(|e| e.job == job)) {
+            self.take(id, at);
+        }
+    }
+
     /// Room of a machine after a start in the same round.
     pub fn set_free(&mut self, id: MachineId, free: Room) {
         if let Some(server) = self.servers.get_mut(&id) {
@@ -162,53 +274,71 @@
 
     /// Takes a machine out; its queue is unplanned again.
     pub fn remove(&mut self, id: MachineId) {
-        if let Some(server) = self.servers.remove(&id) {
-            for entry in server.queue {
-                self.count(entry.job, -i64::from(entry.count));
-            }
-        }
+        self.clear_queue(id);
+        self.servers.remove(&id);
     }
 
     /// Takes a machine's queue away, to be planned anew.
     pub fn clear_queue(&mut self, id: MachineId) {
-        let queue = self.servers.get_mut(&id).map(|s| std::mem::take(&mut s.queue)).unwrap_or_default();
-        for entry in queue {
-            self.count(entry.job, -i64::from(entry.count));
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.waiting = 0;
+        for entry in std::mem::take(&mut server.queue) {
+            self.count(id, entry.job, entry.order, -i64::from(entry.count));
         }
     }
 
     /// Takes all of a job's waiting tasks out.
     pub fn remove_job(&mut self, job: JobId) {
-        if self.planned.remove(&job).is_some() {
-            for server in self.servers.values_mut() {
+        let Some(waiting) = self.planned.remove(&job) else { return };
+        self.ordered.remove(&(waiting.order, job));
+        for (id, count) in waiting.at {
+            if let Some(server) = self.servers.get_mut(&id) {
                 server.queue.retain(|e| e.job != job);
+                server.waiting -= count;
+                self.touched.insert(id);
             }
         }
     }
 
     /// How many of a job's tasks are in queues.
     pub fn planned(&self, job: JobId) -> u32 {
-        self.planned.get(&job).copied().unwrap_or(0)
+        self.planned.get(&job).map_or(0, |w| w.count)
+    }
+
+    /// Jobs with tasks in queues, most important first, and the machines where they wait.
+    pub fn waiting(&self) -> impl Iterator<Item = (Order, JobId, impl Iterator<Item = MachineId>)> {
+        self.ordered.iter().filter_map(|(order, job)| {
+            let waiting = self.planned.get(job)?;
+            Some((*order, *job, waiting.at.keys().copied()))
+        })
     }
 
-    /// The machines with a queue that holds tasks of this job, by zone.
+    /// How many of a job's tasks wait in each zone.
     fn planned_by_zone(&self, job: JobId) -> BTreeMap<usize, u32> {
         let mut zones = BTreeMap::new();
-        if self.planned(job) > 0 {
-            for server in self.servers.values() {
-                for entry in server.queue.iter().filter(|e| e.job == job) {
-                    *zones.entry(server.zone).or_insert(0) += entry.count;
-                }
+        for (id, count) in self.planned.get(&job).into_iter().flat_map(|w| &w.at) {
+            if let Some(server) = self.servers.get(id) {
+                *zones.entry(server.zone).or_insert(0) += count;
             }
         }
         zones
     }
 
-    fn count(&mut self, job: JobId, by: i64) {
-        let planned = self.planned.entry(job).or_insert(0);
-        *planned = (i64::from(*planned) + by).max(0) as u32;
-        if *planned == 0 {
+    fn count(&mut self, id: MachineId, job: JobId, order: Order, by: i64) {
+        let waiting = self.planned.entry(job).or_insert_with(|| Waiting { order, count: 0, at: BTreeMap::new() });
+        let changed = |n: u32| (i64::from(n) + by).max(0) as u32;
+        waiting.count = changed(waiting.count);
+        let here = waiting.at.entry(id).or_insert(0);
+        *here = changed(*here);
+        if *here == 0 {
+            waiting.at.remove(&id);
+        }
+        if waiting.count == 0 {
+            let order = waiting.order;
             self.planned.remove(&job);
+            self.ordered.remove(&(order, job));
+        } else {
+            self.ordered.insert((waiting.order, job));
         }
     }
 
@@ -216,12 +346,14 @@
     pub fn take(&mut self, id: MachineId, at: usize) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         let Some(entry) = server.queue.get_mut(at) else { return };
-        let job = entry.job;
+        let (job, order) = (entry.job, entry.order);
         entry.count -= 1;
         if entry.count == 0 {
             server.queue.remove(at);
         }
-        self.count(job, -1);
+        server.waiting -= 1;
+        self.touched.insert(id);
+        self.count(id, job, order, -1);
     }
 
     fn add(&mut self, id: MachineId, entry: Entry) {
@@ -231,66 +363,61 @@
             Some(same) if same.job == entry.job && same.run == entry.run => same.count += entry.count,
             _ => server.queue.insert(at, entry),
         }
-        self.count(entry.job, i64::from(entry.count));
+        server.waiting += entry.count;
+        self.touched.insert(id);
+        self.count(id, entry.job, entry.order, i64::from(entry.count));
     }
 
     /// Places up to `count` tasks like `task`; returns how many found a machine.
     ///
     /// Among machines that meet the deadline the one with fewest fallbacked tasks is taken, then
-    /// the one that is done sooner; if none meets it, the one that is done soonest.
+    /// the one that is done sooner; if none meets it, the one that is done soonest. Each machine is
+    /// looked at once, and again only when it has received a task.
     pub fn place(&mut self, now: Time, task: Entry, count: u32, world: &dyn World) -> u32 {
-        let mut zones = if task.tied { self.planned_by_zone(task.job) } else { BTreeMap::new() };
-        let mut outcomes: Vec<(MachineId, Span, u32, Option<Outcome>)> = Vec::with_capacity(self.servers.len());
-        for server in self.servers.values() {
-            if let Some(run) = world.predict(task.job, server) {
-                let before = simulate(server, now, None).late;
-                outcomes.push((server.id, run, before, self.outcome(server, now, Entry { run, ..task })));
+        let Some(profile) = world.profile(task.job) else { return 0 };
+        let mut zones =
+            if task.tied { world.zones(task.job, &self.planned_by_zone(task.job)) } else { Zones::default() };
+        let mut best: BinaryHeap<Reverse<(Rating, MachineId)>> = self
+            .servers
+            .values()
+            .filter_map(|server| Some(Reverse((self.rate(server, now, &task, &profile)?, server.id))))
+            .collect();
+        let mut stale: BTreeSet<MachineId> = BTreeSet::new();
+        let mut placed = 0;
+        while placed < count
+            && let Some(Reverse((_, id))) = best.pop()
+        {
+            let Some(server) = self.servers.get(&id) else { continue };
+            if task.tied && !zones.room(server.zone) {
+                continue;
             }
-        }
-        for placed in 0..count {
-            let mut best: Option<((bool, u32, u64, u64), usize)> = None;
-            for (i, (id, _, before, outcome)) in outcomes.iter().enumerate() {
-                let Some(outcome) = outcome else { continue };
-                if task.tied && world.zone_room(task.job, self.servers[id].zone, &zones) == 0 {
-                    continue;
-                }
-                let misses = outcome.finish > task.deadline;
-                let pushed =
-                    if misses || !self.parts.fewest_fallbacked { 0 } else { outcome.late.saturating_sub(*before) };
-                let server = &self.servers[id];
-                let (bias, grain) = if task.endless { (server.bias.0, FINE) } else { (server.bias.1, COARSE) };
-                let key = (misses, pushed, outcome.finish.0 / grain, bias);
-                if best.is_none_or(|(other, _)| key < other) {
-                    best = Some((key, i));
-                }
+            if stale.remove(&id) {
+                // Others' tasks were submitted to it again: it can only have become worse.
+                best.extend(self.rate(server, now, &task, &profile).map(|r| Reverse((r, id))));
+                continue;
             }
-            let Some((_, i)) = best else { return placed };
-            let (id, run, before, outcome) = outcomes[i];
-            let pushes = outcome.is_some_and(|o| o.late > before);
-            let late_before = if pushes { late_by_entry(&self.servers[&id], now) } else { Vec::new() };
+            let Some(run) = profile.predict(server) else { continue };
+            let pushes = server.queue.iter().any(|e| e.deadline != Time::NEVER);
+            let late_before = if pushes { late_by_entry(server, now) } else { Vec::new() };
+            zones.take(server.zone);
             self.add(id, Entry { run, count: 1, ..task });
-            if task.tied {
-                *zones.entry(self.servers[&id].zone).or_insert(0) += 1;
-            }
-            let mut touched = vec![id];
+            placed += 1;
             if pushes && self.parts.resubmission {
-                touched.extend(self.resubmit(now, id, task.job, &late_before, world));
-            }
-            for (id, run, before, outcome) in outcomes.iter_mut().filter(|o| touched.contains(&o.0)) {
-                let server = &self.servers[id];
-                *before = simulate(server, now, None).late;
-                *outcome = self.outcome(server, now, Entry { run: *run, ..task });
+                stale.extend(self.resubmit(now, id, task.job, &late_before, world));
             }
+            let server = &self.servers[&id];
+            best.extend(self.rate(server, now, &task, &profile).map(|r| Reverse((r, id))));
         }
-        count
+        placed
     }
 
-    fn outcome(&self, server: &Server, now: Time, task: Entry) -> Option<Outcome> {
-        if server.queue.iter().map(|e| e.count).sum::<u32>() >= QUEUE_LIMIT {
-            return None;
-        }
-        let result = simulate(server, now, Some(&task));
-        result.finish.map(|finish| Outcome { finish, late: result.late })
+    fn rate(&self, server: &Server, now: Time, task: &Entry, profile: &Profile) -> Option<Rating> {
+        let run = profile.predict(server)?;
+        let outcome = outcome(server, now, Entry { run, count: 1, ..*task })?;
+        let misses = outcome.finish > task.deadline;
+        let pushed = if misses || !self.parts.fewest_fallbacked { 0 } else { outcome.pushed };
+        let (bias, grain) = if task.endless { (server.bias.0, FINE) } else { (server.bias.1, COARSE) };
+        Some((misses, pushed, outcome.finish.0 / grain, bias))
     }
 
     /// Submits again, once, what an insertion pushed past its deadline; what finds no machine that
@@ -306,6 +433,7 @@
         let mut touched = Vec::new();
         for (job, late) in late_by_entry(&self.servers[&id], now) {
             let before = late_before.iter().find(|(j, _)| *j == job).map_or(0, |(_, n)| *n);
+            let Some(profile) = world.profile(job) else { continue };
             for _ in before..late {
                 let Some(at) = self.servers[&id].queue.iter().rposition(|e| e.job == job) else { break };
                 let entry = self.servers[&id].queue[at];
@@ -314,12 +442,12 @@
                 }
                 let mut best: Option<((u32, Time), MachineId, Span)> = None;
                 for server in self.servers.values().filter(|s| s.id != id) {
-                    let Some(run) = world.predict(job, server) else { continue };
-                    let Some(outcome) = self.outcome(server, now, Entry { run, count: 1, ..entry }) else { continue };
+                    let Some(run) = profile.predict(server) else { continue };
+                    let Some(outcome) = outcome(server, now, Entry { run, count: 1, ..entry }) else { continue };
                     if outcome.finish > entry.deadline {
                         continue;
                     }
-                    let key = (outcome.late.saturating_sub(simulate(server, now, None).late), outcome.finish);
+                    let key = (outcome.pushed, outcome.finish);
                     if best.is_none_or(|(other, _, _)| key < other) {
                         best = Some((key, server.id, run));
                     }
@@ -336,22 +464,13 @@
     /// The highest-priority task in another machine's plan that fits into this one's free room now.
     pub fn steal(&mut self, id: MachineId, allowed: &dyn Fn(&Entry, &Server) -> Option<Span>) -> Option<Entry> {
         let me = self.servers.get(&id)?;
-        let mut best: Option<(Order, MachineId, usize, Span)> = None;
-        for server in self.servers.values().filter(|s| s.id != id) {
-            for (at, entry) in server.queue.iter().enumerate() {
-                if best.is_some_and(|(order, ..)| order <= entry.order) {
-                    break;
-                }
-                if !entry.need.fits(&me.free) {
-                    continue;
-                }
-                if let Some(run) = allowed(entry, me) {
-                    best = Some((entry.order, server.id, at, run));
-                    break;
-                }
-            }
-        }
-        let (_, from, at, run) = best?;
+        let (from, at, run) = self.ordered.iter().find_map(|(_, job)| {
+            let from = *self.planned.get(job)?.at.keys().rev().find(|other| **other != id)?;
+            let at = self.servers.get(&from)?.queue.iter().position(|e| e.job == *job)?;
+            let entry = &self.servers[&from].queue[at];
+            let run = if entry.need.fits(&me.free) { allowed(entry, me) } else { None }?;
+            Some((from, at, run))
+        })?;
         let entry = Entry { run, count: 1, ..self.servers[&from].queue[at] };
         self.take(from, at);
         self.add(id, entry);
@@ -367,6 +486,33 @@
     }
 }
 
+/// What inserting a task would do to a machine's plan.
+struct Outcome {
+    finish: Time,
+    /// Tasks that it pushes past their deadline.
+    pushed: u32,
+}
+
+fn outcome(server: &Server, now: Time, task: Entry) -> Option<Outcome> {
+    if server.waiting >= QUEUE_LIMIT {
+        return None;
+    }
+    if server.queue.is_empty() && task.need.fits(&server.free) {
+        // Most machines, most of the time: nothing to simulate.
+        return Some(Outcome { finish: server.start_time(now) + task.run, pushed: 0 });
+    }
+    let after = simulate(server, now, Some(&task));
+    let before = if after.late > 0 { simulate(server, now, None).late } else { 0 };
+    after.finish.map(|finish| Outcome { finish, pushed: after.late.saturating_sub(before) })
+}
+
+impl Server {
+    /// When it could start something, given the room.
+    fn start_time(&self, now: Time) -> Time {
+        self.ready.max(now + self.slack)
+    }
+}
+
 fn position(queue: &[Entry], order: Order) -> usize {
     queue.partition_point(|e| e.order <= order)
 }
@@ -409,7 +555,7 @@
 fn walk(server: &Server, now: Time, insert: Option<&Entry>, mut tell: impl FnMut(&Entry, Option<Time>, bool)) {
     let mut free = server.free;
     let mut soft = server.soft;
-    let mut clock = now.max(server.ready);
+    let mut clock = server.start_time(now);
     let mut heap: BinaryHeap<Reverse<(Time, u64, u64, u64)>> =
         server.releases.iter().map(|(at, room)| Reverse((*at, room.cpus, room.gpus, room.memory))).collect();
     let at = insert.map(|e| position(&server.queue, e.order));
@@ -505,17 +651,18 @@
         [Some(12), Some(14), None],
     ];
     fn server(id: u64) -> Server {
-        let (free, soft, releases, queue) = (ONE, Room::default(), Vec::new(), Vec::new());
-        Server { id: MachineId(id), zone: 0, ready: Time(0), bias: (0, 0), free, soft, releases, queue }
+        Server { id: MachineId(id), kind: id as usize - 1, free: ONE, ..Server::default() }
     }
     const ONE: Room = Room { cpus: 1000, gpus: 0, memory: 0 };
 
     impl World for Table {
-        fn predict(&self, job: JobId, server: &Server) -> Option<Span> {
-            TIMES[job.0 as usize - 1][server.id.0 as usize - 1].map(|t| Span(t * COARSE))
+        fn profile(&self, job: JobId) -> Option<Profile> {
+            let times = TIMES[job.0 as usize - 1];
+            let kinds = times.iter().map(|t| t.map(|t| (Span(t * COARSE), Span(t * COARSE)))).collect();
+            Some(Profile { kinds, zone: None, spot: true, avoid: Vec::new(), image: 0 })
         }
-        fn zone_room(&self, _: JobId, _: usize, _: &BTreeMap<usize, u32>) -> u32 {
-            1
+        fn zones(&self, _: JobId, _: &BTreeMap<usize, u32>) -> Zones {
+            Zones::default()
         }
     }
 
@@ -544,7 +691,7 @@
     fn figure_2_of_the_paper_step_by_step() {
         let mut plans = Plans::default();
         for id in 1..=3 {
-            plans.refresh(Time(0), server(id));
+            plans.admit(Time(0), vec![server(id)]);
         }
         let steps = [
             (task(1, 3, 15), "T1 |  | "),
@@ -564,7 +711,7 @@
     fn without_a_machine_that_meets_the_deadline_the_soonest_finish_wins() {
         let mut plans = Plans::default();
         for id in 1..=3 {
-            plans.refresh(Time(0), server(id));
+            plans.admit(Time(0), vec![server(id)]);
         }
         plans.place(Time(0), task(3, 2, 1), 1, &Table);
         assert_eq!(shown(&plans), "T3 |  | ");
@@ -573,12 +720,12 @@
     #[test]
     fn an_idle_machine_takes_the_highest_priority_task_that_fits() {
         let mut plans = Plans::default();
-        plans.refresh(Time(0), server(1));
+        plans.admit(Time(0), vec![server(1)]);
         for t in [task(1, 3, 1000), task(2, 5, 1000), task(4, 4, 1000)] {
             plans.place(Time(0), t, 1, &Table);
         }
-        plans.refresh(Time(0), Server { ready: Time(1_000_000), ..server(2) });
-        let taken = plans.steal(MachineId(2), &|e, s| Table.predict(e.job, s)).unwrap();
+        plans.admit(Time(0), vec![Server { ready: Time(1_000_000), ..server(2) }]);
+        let taken = plans.steal(MachineId(2), &|e, s| Table.profile(e.job)?.predict(s)).unwrap();
         assert_eq!(taken.job, JobId(2));
         assert_eq!(shown(&plans), "T4,T1 | T2");
     }
@@ -586,10 +733,10 @@
     #[test]
     fn tasks_behind_services_that_took_their_room_are_planned_anew() {
         let mut plans = Plans::default();
-        plans.refresh(Time(0), server(1));
+        plans.admit(Time(0), vec![server(1)]);
         plans.place(Time(0), task(1, 3, 1000), 1, &Table);
-        plans.refresh(Time(0), Server { free: Room::default(), ..server(1) });
-        plans.release_stuck(Time(0));
+        plans.refresh(Server { free: Room::default(), ..server(1) });
+        plans.release_stuck(Time(0), [MachineId(1)].into_iter());
         assert_eq!((shown(&plans).as_str(), plans.planned(JobId(1))), ("", 0));
     }
 
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -4,8 +4,9 @@
 use crate::fleet::{self, Fleet};
 use crate::intake::{self, Applied, Final, JobBook, Refusal};
 use crate::peers::{Answer, UserCall};
-use crate::plan::{Correction, Plans};
+use crate::plan::{Correction, Order, Plans};
 use crate::records::{self, MachineRecord, Record, Records};
+use crate::scheduling::Names;
 use crate::settings::Settings;
 use crate::store::Reply;
 use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskId, Time, Token, Wall};
@@ -45,7 +46,19 @@
     pub(crate) fleet: Fleet,
     pub(crate) plans: Plans,
     pub(crate) correction: Correction,
-    pub(crate) zones: Vec<String>,
+    pub(crate) names: Names,
+    /// Machines of which the plan must learn something.
+    pub(crate) changed: BTreeSet<MachineId>,
+    /// Machines to which a direct command should be sent soon.
+    pub(crate) wanting: BTreeSet<MachineId>,
+    /// Machines that the cloud takes back.
+    pub(crate) noticed: BTreeSet<MachineId>,
+    /// Zones in which most machines fell silent, and when that was seen last.
+    pub(crate) lost_zones: HashMap<String, Time>,
+    /// Jobs from here on were not looked at in the last round of planning.
+    pub(crate) untried: Option<Order>,
+    /// Direct commands under way.
+    flights: usize,
     /// Enrolled by an earlier leader and not known to have seen this token.
     unfenced: BTreeSet<MachineId>,
     opened: bool,
@@ -75,7 +88,13 @@
             fleet: Fleet::new(token, now, &settings.deployment.cloud),
             plans: Plans::default(),
             correction: Correction::default(),
-            zones: Vec::new(),
+            names: Names::default(),
+            changed: BTreeSet::new(),
+            wanting: BTreeSet::new(),
+            noticed: BTreeSet::new(),
+            lost_zones: HashMap::new(),
+            untried: None,
+            flights: 0,
             unfenced: BTreeSet::new(),
             opened: false,
             attempts: 0,
@@ -290,9 +309,8 @@
                         self.book.finals(),
                         self.machines.len()
                     );
-                    for machine in self.machines.values_mut() {
-                        machine.wants_command = true;
-                    }
+                    self.wanting.extend(self.machines.keys());
+                    self.changed.extend(self.machines.keys());
                     self.flush(now, out);
                 }
                 records::Event::Durable(facts) => {
@@ -309,7 +327,6 @@
         match record {
             Record::Enrolled(machine) => {
                 let mut m = Machine::new(machine.clone(), Room::default(), Enrolment::Durable, now);
-                m.wants_command = true;
                 m.since = wall.instant(now, machine.at);
                 self.fleet.up(machine.id);
                 self.unfenced.insert(machine.id);
@@ -346,6 +363,7 @@
             Record::Enrolled(machine) => {
                 if let Some(m) = self.machines.get_mut(&machine.id) {
                     m.enrolment = Enrolment::Durable;
+                    self.changed.insert(machine.id);
                 }
             }
             Record::Gone(_) | Record::Rented(_) | Record::Image(..) | Record::Learnt(..) => {}
@@ -375,12 +393,11 @@
         info!("over {id} {}", if matches!(self.book.ended(id), Some(Final::Done(_))) { "done" } else { "cancelled" });
         self.plans.remove_job(id);
         for placed in left {
-            if let Some(machine) = self.machines.get_mut(&placed.machine) {
-                machine.stop(placed.attempt, 0.0);
-                if let Some(hold) = machine.holds.get_mut(&placed.attempt) {
-                    hold.claimed = false;
-                    hold.reapable = true;
-                }
+            self.stop(placed.machine, placed.attempt, 0.0);
+            let machine = self.machines.get_mut(&placed.machine);
+            if let Some(hold) = machine.and_then(|m| m.holds.get_mut(&placed.attempt)) {
+                hold.claimed = false;
+                hold.reapable = true;
             }
         }
         let tasks: Vec<TaskId> = self.finished.keys().filter(|t| t.job == id).copied().collect();
@@ -447,26 +464,42 @@
             machine.since = rented;
             machine.record.at = wall.of(now, rented);
         }
+        let others = !self.settings.seeds.is_empty();
+        if !self.machines.get_mut(&id).is_some_and(|m| m.report(now, report, others)) {
+            let body = json!({"error": "a newer report has come", "field": "Tally"}).to_string();
+            out.push(Effect::Answer(origin, Answer { status: 409, retry_after: 0, body }));
+            return;
+        }
         self.message(now, id, report);
-        if let Some(machine) = self.machines.get_mut(&id) {
-            if certain && machine.enrolment == Enrolment::None && !self.fleet.is_returning(id) {
-                machine.enrolment = Enrolment::Pending;
-                self.records.push(Record::Enrolled(machine.record.clone()));
-            }
-            if !machine.fenced {
-                machine.wants_command = true;
-            }
+        self.enrol(certain, id);
+        if self.machines.get(&id).is_some_and(|m| !m.fenced) {
+            self.wanting.insert(id);
         }
         self.maybe_schedule(now, wall, certain, out);
         if let Some(machine) = self.machines.get_mut(&id) {
             let orders = if machine.fenced { machine.orders() } else { Vec::new() };
             machine.answered = now;
+            machine.told = machine.last_report;
             let body = serde_json::to_string(&ReportAnswer { token: self.token.0, orders }).unwrap_or_default();
             out.push(Effect::Answer(origin, Answer { status: 200, retry_after: 0, body }));
         }
         self.flush(now, out);
     }
 
+    /// Enrols a machine that is new. Only one that has seen this token is surely there: the report of a
+    /// machine that an earlier leader returned may come late.
+    fn enrol(&mut self, certain: bool, id: MachineId) {
+        if let Some(machine) = self.machines.get_mut(&id)
+            && certain
+            && machine.fenced
+            && machine.enrolment == Enrolment::None
+            && !self.fleet.is_returning(id)
+        {
+            machine.enrolment = Enrolment::Pending;
+            self.records.push(Record::Enrolled(machine.record.clone()));
+        }
+    }
+
     /// A worker answered a direct command, or did not.
     #[allow(clippy::too_many_arguments)]
     pub fn command_answer(
@@ -481,8 +514,10 @@
     ) {
         // 200: executed. 409: nothing executed, and nothing will be. Else it may come to be late.
         let answered = matches!(reply.status, 200 | 409);
+        self.flights = self.flights.saturating_sub(1);
         if let Some(machine) = self.machines.get_mut(&id) {
-            machine.command_over(command, answered);
+            machine.command_over(now, command, answered);
+            self.changed.insert(id);
         }
         if answered && let Some(report) = reply.parse::<Report>() {
             if report.token > self.token.0 {
@@ -493,11 +528,9 @@
                 self.message(now, id, &report);
             }
         }
-        if let Some(machine) = self.machines.get_mut(&id)
-            && answered
-            && !machine.fenced
-        {
-            machine.wants_command = true;
+        self.enrol(certain, id);
+        if answered && self.machines.get(&id).is_some_and(|m| !m.fenced) {
+            self.wanting.insert(id);
         }
         self.maybe_schedule(now, wall, certain, out);
         self.flush(now, out);
@@ -509,8 +542,10 @@
         let had_notice = machine.notice.is_some();
         let mut events = Vec::new();
         machine.message(now, report, token, &mut events);
+        self.changed.insert(id);
         if !had_notice && machine.notice.is_some() {
             info!("spot notice machine={id} seconds={:?}", report.notice_s);
+            self.noticed.insert(id);
             self.dirty = true;
         }
         if !events.is_empty() {
@@ -572,9 +607,7 @@
             && job.placed.get(&task.index).is_some_and(|p| p.machine == id)
         {
             job.placed.remove(&task.index);
-            if !job.done.contains(task.index) {
-                job.pending.insert(task.index);
-            }
+            self.book.waits_again(task);
         }
     }
 
@@ -646,6 +679,7 @@
                 if (machine.failed_jobs.len() >= 2 || (succeeded_elsewhere && !faulty)) && machine.draining.is_none() {
                     info!("quarantined machine={id} failed_jobs={}", machine.failed_jobs.len());
                     machine.draining = Some("fails its tasks");
+                    self.changed.insert(id);
                 }
             }
             other => {
@@ -662,7 +696,11 @@
     pub fn cloud(&mut self, now: Time, wall: Wall, certain: bool, id: u64, reply: &Reply, out: &mut Vec<Effect>) {
         let mut events = Vec::new();
         let machines = &self.machines;
+        let knew = self.fleet.flavors().is_some();
         self.fleet.reply(now, id, reply, &|id| machines.contains_key(&id), &mut events);
+        if !knew && self.fleet.flavors().is_some() {
+            self.changed.extend(self.machines.keys());
+        }
         self.hired(now, wall, events, out);
         self.maybe_schedule(now, wall, certain, out);
         self.flush(now, out);
@@ -675,6 +713,7 @@
                 fleet::Event::Failed(id) => {
                     if let Some(machine) = self.machines.get_mut(&id) {
                         machine.draining.get_or_insert("failed");
+                        self.changed.insert(id);
                     }
                     self.fleet.give_back(id, "failed");
                 }
@@ -765,28 +804,53 @@
         let patience = Span::secs(times.report_s * 1.25 + 1.5);
         // A worker's clock may run slow by as much as ours runs fast, and a process may be late.
         let lease_over = Span::secs(times.lease_s * 1.002 + 1.5);
-        let silent = |m: &Machine| now.since(m.heard) >= overdue;
-        let quiet = self.machines.values().filter(|m| silent(m)).count();
-        // If most machines are silent at once, it is this node that is cut off.
+        let unreached = |m: &Machine| now.since(m.reached) >= overdue;
+        let quiet = self.machines.values().filter(|m| unreached(m)).count();
+        // If most machines are out of reach at once, it is this node that is cut off.
         let cut_off = quiet > 3 && quiet * 2 > self.machines.len();
+        if quiet > 3 && !cut_off {
+            let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
+            for m in self.machines.values() {
+                let (all, out_of_reach) = zones.entry(&m.record.zone).or_default();
+                *all += 1;
+                *out_of_reach += usize::from(unreached(m));
+            }
+            for (zone, (all, out_of_reach)) in zones {
+                if out_of_reach > 3 && out_of_reach * 2 > all {
+                    let known = self.lost_zones.insert(zone.to_string(), now);
+                    if known.is_none_or(|at| now.since(at) > Span(5000)) {
+                        warn!("zone {zone} is out of reach: {out_of_reach} of {all} machines");
+                    }
+                }
+            }
+        }
         let mut events = Vec::new();
         let mut give_back: Vec<(MachineId, &'static str)> = Vec::new();
         for (id, m) in &mut self.machines {
-            if silent(m) {
+            if let Some(flight) = m.flight
+                && now.since(flight.sent) > COMMAND_TIMEOUT + Span(500)
+            {
+                m.command_over(now, flight.id, false);
+            }
+            if unreached(m) {
+                self.changed.insert(*id);
                 if m.flight.is_none() && now.since(m.probed) >= Span(800) {
-                    m.wants_command = true;
+                    self.wanting.insert(*id);
                 }
+                // A machine that takes nothing in renews no lease, whatever it reports; but that an
+                // answer did not reach it cannot be known, so the lease counts from the last one given.
                 if m.fenced && now.since(m.answered) >= lease_over && !m.holds.is_empty() {
                     info!("lease over machine={id}");
                     let mut lost = Vec::new();
                     m.drop_holds(&mut lost);
                     events.push((*id, lost));
                 }
-                // A machine that neither reports nor takes connections is most likely dead; its services
+                // A machine that takes nothing in is most likely dead, or its network is; its services
                 // wait for this verdict.
                 let limit = if cut_off { lease_over } else { patience };
-                if now.since(m.heard) >= limit && m.unanswered >= 2 {
-                    give_back.push((*id, "silent"));
+                if now.since(m.reached) >= limit && m.unanswered >= 2 {
+                    let silent = now.since(m.heard) >= overdue;
+                    give_back.push((*id, if silent { "silent" } else { "takes nothing in" }));
                 }
             }
             let empty = !m.holds.values().any(workers::Hold::occupies);
@@ -823,31 +887,29 @@
                 out.push(Effect::State(Slot::Records(self.token.0), id, call));
             }
         }
-        for (id, machine) in &mut self.machines {
-            if let Some(flight) = machine.flight
-                && now.since(flight.sent) > COMMAND_TIMEOUT + Span(500)
+        for id in std::mem::take(&mut self.wanting) {
+            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            // One command at a time to each, and not more at once than there are sockets for them. What
+            // does not answer is not tried again and again.
+            if machine.flight.is_some()
+                || self.flights >= self.settings.deployment.resources.commands_at_once()
+                || (now.since(machine.reached) > Span(2000) && now.since(machine.probed) < Span(500))
             {
-                machine.command_over(flight.id, false);
-            }
-            if !machine.wants_command || machine.flight.is_some() {
-                continue;
-            }
-            // What does not answer is not tried again and again.
-            if now.since(machine.heard) > Span(2000) && now.since(machine.probed) < Span(500) {
+                self.wanting.insert(id);
                 continue;
             }
-            machine.wants_command = false;
             self.commands += 1;
             let command = self.commands;
             let orders = if machine.fenced { machine.direct_orders(command) } else { Vec::new() };
-            if orders.is_empty() && machine.fenced && now.since(machine.heard) < Span(2000) {
+            if orders.is_empty() && machine.fenced && now.since(machine.reached) < Span(2000) {
                 continue;
             }
+            self.flights += 1;
             machine.probed = now;
             machine.flight = Some(Flight { id: command, sent: now });
             out.push(Effect::Command {
                 token: self.token.0,
-                machine: *id,
+                machine: id,
                 endpoint: machine.record.endpoint.clone(),
                 id: command,
                 body: Commands { token: self.token.0, session: machine.session.0, orders },
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -25,6 +25,8 @@
 /// All clients, with pooled connections.
 pub struct Clients {
     http: Client<HttpConnector, Full<Bytes>>,
+    /// Apart: a thousand workers' idle connections would use the sockets up.
+    workers: Client<HttpConnector, Full<Bytes>>,
     state: SocketAddrV4,
     cloud: SocketAddrV4,
     tell: mpsc::Sender<Message>,
@@ -36,20 +38,23 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(Duration::from_millis(900)));
         connector.set_nodelay(true);
-        let http = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(30))
-            .pool_max_idle_per_host(4)
-            .build(connector);
-        Clients { http, state: settings.external.state, cloud: settings.external.cloud, tell }
+        let client = |idle: Duration, per_host: usize| {
+            Client::builder(TokioExecutor::new())
+                .pool_timer(TokioTimer::new())
+                .pool_idle_timeout(idle)
+                .pool_max_idle_per_host(per_host)
+                .build(connector.clone())
+        };
+        let http = client(Duration::from_secs(30), 4);
+        let workers = client(Duration::from_secs(2), 1);
+        Clients { http, workers, state: settings.external.state, cloud: settings.external.cloud, tell }
     }
 
     fn send(
         &self,
+        http: &Client<HttpConnector, Full<Bytes>>,
         to: &str,
-        method: Method,
-        path: &str,
-        body: Option<Vec<u8>>,
+        (method, path, body): (Method, String, Option<Vec<u8>>),
         patience: Duration,
         wrap: impl FnOnce(Reply) -> Input + Send + 'static,
     ) {
@@ -59,7 +64,7 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body.unwrap_or_default())));
         let tell = self.tell.clone();
-        let http = self.http.clone();
+        let http = http.clone();
         tokio::spawn(async move {
             let reply = match request {
                 Ok(request) => {
@@ -79,7 +84,7 @@
 
     /// Asks the state service.
     pub fn state(&self, slot: Slot, id: u64, call: StateCall, patience: Duration) {
-        let (method, path, body) = match call {
+        let what = match call {
             StateCall::Get(key) => (Method::GET, format!("/keys/{key}"), None),
             StateCall::Scan { prefix, after } => {
                 let since = after.map(|a| format!("&Since={a}")).unwrap_or_default();
@@ -90,12 +95,12 @@
             StateCall::Renew(lease) => (Method::POST, format!("/leases/{lease}/extend"), Some(b"{}".to_vec())),
         };
         let to = self.state.to_string();
-        self.send(&to, method, &path, body, patience, move |reply| Input::State(slot, id, reply));
+        self.send(&self.http, &to, what, patience, move |reply| Input::State(slot, id, reply));
     }
 
     /// Asks the cloud.
     pub fn cloud(&self, token: u64, id: u64, call: CloudCall) {
-        let (method, path, body) = match call {
+        let what = match call {
             CloudCall::Flavors => (Method::GET, "/flavors".into(), None),
             CloudCall::Rent(request) => (Method::POST, "/hosts".into(), Some(json(&request))),
             CloudCall::Return(ids) => {
@@ -108,12 +113,13 @@
             }
         };
         let to = self.cloud.to_string();
-        self.send(&to, method, &path, body, CLOUD_TIMEOUT, move |reply| Input::Cloud(token, id, reply));
+        self.send(&self.http, &to, what, CLOUD_TIMEOUT, move |reply| Input::Cloud(token, id, reply));
     }
 
     /// Sends commands to a worker.
     pub fn command(&self, token: u64, machine: MachineId, endpoint: &str, id: u64, body: &Commands) {
-        self.send(endpoint, Method::POST, "/commands", Some(json(body)), COMMAND_TIMEOUT, move |reply| {
+        let what = (Method::POST, "/commands".into(), Some(json(body)));
+        self.send(&self.workers, endpoint, what, COMMAND_TIMEOUT, move |reply| {
             Input::Command(token, machine, id, reply)
         });
     }
--- a/src/runtime/http.rs
+++ b/src/runtime/http.rs
@@ -15,8 +15,6 @@
 
 /// Largest body that is read.
 const BODY_LIMIT: usize = 64 * 1024;
-/// Sockets kept for the state service, the cloud, workers and peers.
-const RESERVED_SOCKETS: u64 = 150;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// What came over HTTP.
@@ -31,7 +29,7 @@
 }
 
 /// Accepts connections for ever.
-pub fn serve(listener: tokio::net::TcpListener, tell: mpsc::Sender<Message>, fd_limit: u64) {
+pub fn serve(listener: tokio::net::TcpListener, tell: mpsc::Sender<Message>, connections: usize) {
     let routes = warp::method().and(warp::path::full()).and(warp::body::stream()).then(
         move |method: Method, path: warp::path::FullPath, body| {
             let tell = tell.clone();
@@ -39,7 +37,7 @@
         },
     );
     let service = warp::service(routes);
-    let sockets = Arc::new(Semaphore::new(fd_limit.saturating_sub(RESERVED_SOCKETS).max(16) as usize));
+    let sockets = Arc::new(Semaphore::new(connections));
     tokio::spawn(async move {
         loop {
             let Ok(permit) = sockets.clone().acquire_owned().await else { return };
--- a/src/runtime/links.rs
+++ b/src/runtime/links.rs
@@ -4,6 +4,7 @@
 use crate::controller::{Input, Origin};
 use crate::peers::{Frame, HEADER_BYTES};
 use crate::settings::Seed;
+use crate::units::Token;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -82,6 +83,7 @@
     }
     let request = |frame| match frame {
         Frame::Request(id, call) => Some(Input::User(Origin::Peer(link, id), call)),
+        Frame::Leads(token, node) => Some(Input::Leads(node, Token(token))),
         Frame::Answer(..) => None,
     };
     carry(stream, &mut queue, &tell, request).await;
@@ -101,7 +103,7 @@
                 let _ = tell.send(Message::Input(Input::Link(node.clone(), true))).await;
                 let answer = |frame| match frame {
                     Frame::Answer(id, answer) => Some(Input::Forwarded(id, answer)),
-                    Frame::Request(..) => None,
+                    Frame::Request(..) | Frame::Leads(..) => None,
                 };
                 carry(stream, &mut queue, &tell, answer).await;
                 let _ = tell.send(Message::Input(Input::Link(node.clone(), false))).await;
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -43,7 +43,7 @@
     let api = tokio::net::TcpListener::bind(settings.api_addr).await?;
     let peer = tokio::net::TcpListener::bind(settings.peer_bind).await?;
     info!("node {} listens on {} and for peers on {}", settings.node, settings.api_addr, settings.peer_bind);
-    http::serve(api, tell.clone(), settings.deployment.resources.fd_limit);
+    http::serve(api, tell.clone(), settings.deployment.resources.connections());
     links::listen(peer, tell.clone());
     let mut links: HashMap<String, mpsc::Sender<Frame>> = HashMap::new();
     for seed in &settings.seeds {
@@ -51,6 +51,7 @@
     }
     let clients = clients::Clients::new(&settings, tell.clone());
     let start = Instant::now();
+    let node = settings.node.clone();
     let mut controller = Controller::new(settings, SmallRng::from_os_rng().random());
     let mut waiting: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
     let mut incoming: HashMap<u64, mpsc::Sender<Frame>> = HashMap::new();
@@ -111,6 +112,12 @@
                 Effect::Command { token, machine, endpoint, id, body } => {
                     clients.command(token, machine, &endpoint, id, &body);
                 }
+                Effect::Announce(token) => {
+                    for to in links.values() {
+                        // A link that is full or down hears of it another time.
+                        let _ = to.try_send(Frame::Leads(token.0, node.clone()));
+                    }
+                }
                 Effect::Forward(node, id, call) => {
                     let sent = links.get(&node).is_some_and(|to| to.try_send(Frame::Request(id, call)).is_ok());
                     if !sent {
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -3,12 +3,12 @@
 use crate::controller::Effect;
 use crate::fleet::{self, Demand, Place};
 use crate::intake::{self, Job};
-use crate::plan::{Entry, Order, Server, World};
+use crate::plan::{self, Entry, Order, Profile, Server, World, Zones};
 use crate::reign::Reign;
 use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskId, Time, Wall};
 use crate::workers::{Doubt, Hold, Machine, Phase};
 use log::{debug, info};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Least time between two plannings: a controller has a tenth of a core.
 const SCHEDULE_EVERY: Span = Span(100);
@@ -20,6 +20,17 @@
 /// Tasks of one job that are planned at once.
 const BATCH: u32 = 128;
 
+/// Machines that a round of planning looks at, over all jobs: a few milliseconds.
+const LOOKS: usize = 20_000;
+/// A job of which nothing has begun for so long is promoted, so that it begins within four minutes.
+const FORSAKEN: Span = Span(120_000);
+/// To this rank, for its first task: before all but services, which it must not push aside.
+const PROMOTED: u8 = 1;
+
+/// So long nothing is rented in a zone that most machines have fallen silent in: what is rented there
+/// most likely cannot report either.
+const AVOID_ZONE: Span = Span(40_000);
+
 /// Why a machine is drained whose services were moved to others.
 const CONSOLIDATED: &str = "its services fit elsewhere";
 
@@ -29,76 +40,119 @@
     machines: &'a BTreeMap<MachineId, Machine>,
     fleet: &'a fleet::Fleet,
     correction: crate::plan::Correction,
-    zones: &'a [String],
+    names: &'a Names,
 }
 
 impl View<'_> {
-    fn place_of(&self, id: MachineId) -> Option<(&str, &str, bool)> {
-        if let Some(m) = self.machines.get(&id) {
-            return Some((&m.record.kind, &m.record.zone, m.record.spot));
-        }
-        self.fleet.booting().find(|(b, _)| **b == id).map(|(_, b)| (b.kind.as_str(), b.zone.as_str(), b.spot))
-    }
-
     /// Whether the job's description allows its tasks on this machine.
     fn allowed(&self, job: &Job, id: MachineId) -> bool {
-        let Some((kind, zone, spot)) = self.place_of(id) else { return false };
-        job.record.allows(kind, zone, spot) && !job.failed_on.contains(&id)
+        let Some(m) = self.machines.get(&id) else { return false };
+        job.record.allows(&m.record.kind, &m.record.zone, m.record.spot) && !job.failed_on.contains(&id)
     }
 
     /// How many of a job's tasks are, or may be, in each zone.
     fn by_zone(&self, job: &Job) -> BTreeMap<usize, u32> {
         let mut zones = BTreeMap::new();
         for placed in job.placed.values() {
-            if let Some(zone) = self.machines.get(&placed.machine).and_then(|m| self.zone(&m.record.zone)) {
+            if let Some(zone) = self.machines.get(&placed.machine).and_then(|m| self.names.zone(&m.record.zone)) {
                 *zones.entry(zone).or_insert(0) += 1;
             }
         }
         zones
     }
 
-    fn zone(&self, name: &str) -> Option<usize> {
-        self.zones.iter().position(|z| z == name)
-    }
-
-    /// Run-time estimate plus uncached image fetch, scaled by CorrecFAST.
-    fn predicted(&self, job: &Job, id: MachineId) -> Option<Span> {
-        let (kind, ..) = self.place_of(id)?;
-        let cached = self.machines.get(&id).is_some_and(|m| m.images.contains(&job.record.image));
-        let fetch = match self.fleet.flavor(kind) {
-            Some(f) if !cached && f.fetch_gb_per_s > 0.0 => {
-                Span((job.record.image_mb as f64 / f.fetch_gb_per_s) as u64)
+    /// Run-time estimate plus uncached image fetch, scaled by CorrecFAST, by type of machine.
+    fn profile_of(&self, job: &Job) -> Profile {
+        let kinds = self.names.kinds.iter().map(|kind| {
+            let flavor = self.fleet.flavor(kind)?;
+            let named = job.record.types.as_ref().is_none_or(|types| types.contains(kind));
+            if !named || !job.record.need.fits(&intake::capacity(flavor)) {
+                return None;
             }
-            _ => Span(0),
-        };
-        Some(self.correction.predict(job.record.estimate + fetch))
+            let fetch = if flavor.fetch_gb_per_s > 0.0 {
+                Span((job.record.image_mb as f64 / flavor.fetch_gb_per_s) as u64)
+            } else {
+                Span(0)
+            };
+            let estimate = job.record.estimate;
+            Some((self.correction.predict(estimate), self.correction.predict(estimate + fetch)))
+        });
+        Profile {
+            kinds: kinds.collect(),
+            zone: job.record.zone.as_ref().map(|z| self.names.zone(z).unwrap_or(usize::MAX)),
+            spot: job.record.spot,
+            avoid: job.failed_on.clone(),
+            image: self.names.image(&job.record.image),
+        }
     }
 }
 
 impl World for View<'_> {
-    fn predict(&self, job: JobId, server: &Server) -> Option<Span> {
-        let job = self.book.get(job)?;
-        if !self.allowed(job, server.id) {
-            return None;
-        }
-        self.predicted(job, server.id)
+    fn profile(&self, job: JobId) -> Option<Profile> {
+        Some(self.profile_of(self.book.get(job)?))
     }
 
-    fn zone_room(&self, job: JobId, zone: usize, planned: &BTreeMap<usize, u32>) -> u32 {
-        let Some(job) = self.book.get(job) else { return 0 };
-        let mut zones = self.by_zone(job);
+    fn zones(&self, job: JobId, planned: &BTreeMap<usize, u32>) -> Zones {
+        let Some(job) = self.book.get(job) else { return Zones::default() };
+        let mut taken = self.by_zone(job);
         for (zone, n) in planned {
-            *zones.entry(*zone).or_insert(0) += n;
+            *taken.entry(*zone).or_insert(0) += n;
         }
-        if job.record.together && zones.keys().any(|z| *z != zone) {
-            return 0;
-        }
-        job.record.zone_cap().saturating_sub(zones.get(&zone).copied().unwrap_or(0))
+        let together = job.record.together;
+        let left = (0..self.names.zones.len()).map(|zone| {
+            if together && taken.keys().any(|z| *z != zone) {
+                return 0;
+            }
+            job.record.zone_cap().saturating_sub(taken.get(&zone).copied().unwrap_or(0))
+        });
+        Zones { left: left.collect(), together }
+    }
+}
+
+/// Names that the plan knows as indexes.
+#[derive(Debug, Default)]
+pub(crate) struct Names {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    images: HashMap<String, plan::Image>,
+}
+
+fn index_of(names: &mut Vec<String>, name: &str) -> usize {
+    names.iter().position(|n| n == name).unwrap_or_else(|| {
+        names.push(name.to_string());
+        names.len() - 1
+    })
+}
+
+impl Names {
+    fn zone(&self, name: &str) -> Option<usize> {
+        self.zones.iter().position(|z| z == name)
+    }
+
+    /// An image that no machine has is none of those that machines have.
+    fn image(&self, name: &str) -> plan::Image {
+        self.images.get(name).copied().unwrap_or(plan::Image::MAX)
+    }
+
+    fn images<'a>(&mut self, names: impl Iterator<Item = &'a String>) -> Vec<plan::Image> {
+        let mut found: Vec<plan::Image> = names
+            .map(|name| match self.images.get(name) {
+                Some(image) => *image,
+                None => {
+                    let image = self.images.len() as plan::Image;
+                    self.images.insert(name.clone(), image);
+                    image
+                }
+            })
+            .collect();
+        found.sort_unstable();
+        found.dedup();
+        found
     }
 }
 
 fn order_of(job: &Job) -> Order {
-    Order { rank: job.record.rank, seq: job.seq }
+    Order { rank: job.urgency, seq: job.seq }
 }
 
 fn entry_of(job: &Job) -> Entry {
@@ -138,7 +192,7 @@
             machines: &self.machines,
             fleet: &self.fleet,
             correction: self.correction,
-            zones: &self.zones,
+            names: &self.names,
         }
     }
 
@@ -152,7 +206,7 @@
         }
         self.dirty = false;
         self.scheduled = now;
-        self.schedule(now);
+        self.schedule(now, look);
         if look {
             self.demanded = now;
             if certain {
@@ -163,84 +217,119 @@
         }
     }
 
-    fn schedule(&mut self, now: Time) {
+    /// A round of planning: what changed since the last one, and everything when it is time to look.
+    fn schedule(&mut self, now: Time, look: bool) {
         self.refresh(now);
-        let used = self.team_use();
         self.drain_noticed(now);
-        self.plans.release_stuck(now);
+        let everything = look || self.limited();
+        if everything {
+            self.promote_forsaken(now);
+            let ids: Vec<MachineId> = self.plans.servers().filter(|s| !s.queue.is_empty()).map(|s| s.id).collect();
+            self.plans.release_stuck(now, ids.into_iter());
+        }
+        let mut used = self.team_use();
         self.plan_waiting(now, &used);
-        let mut used = used;
-        self.start_planned(now, &mut used);
-        self.steal(now, &mut used);
+        let touched = self.plans.take_touched();
+        let ids: Vec<MachineId> = if everything {
+            self.plans.servers().filter(|s| !s.queue.is_empty() || s.free.cpus > 0).map(|s| s.id).collect()
+        } else {
+            touched.into_iter().collect()
+        };
+        self.start_planned(now, &ids, &mut used);
+        self.steal(now, &ids, &mut used);
         self.make_room(now);
     }
 
-    /// Brings the plan's machines up to date.
+    /// Whether any team has a limit.
+    fn limited(&self) -> bool {
+        self.settings.deployment.teams.iter().any(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+    }
+
+    /// Brings the plan's machines up to date, as far as something changed.
     fn refresh(&mut self, now: Time) {
-        let overdue = Span::secs(self.settings.deployment.workers.report_s * 2.0 + 2.0);
-        for machine in self.machines.values_mut() {
-            if machine.capacity == Room::default()
-                && let Some(flavor) = self.fleet.flavors().into_iter().flatten().find(|f| f.name == machine.record.kind)
-            {
-                machine.capacity = intake::capacity(flavor);
-            }
-        }
-        let mut seen = HashSet::new();
-        let mut refreshed = Vec::new();
-        for (id, m) in &self.machines {
-            if m.draining.is_some()
-                || m.notice.is_some()
-                || now.since(m.heard) > overdue
-                || self.fleet.is_returning(*id)
-            {
-                continue;
+        if self.fleet.take_news() {
+            self.changed.extend(self.fleet.booting().map(|(id, _)| *id));
+        }
+        let mut fresh = Vec::new();
+        for id in std::mem::take(&mut self.changed) {
+            match self.server_of(now, id) {
+                Some(server) if self.plans.server(id).is_some() => {
+                    self.plans.refresh(server);
+                }
+                Some(server) => fresh.push(server),
+                None => self.plans.remove(id),
+            }
+        }
+        self.plans.admit(now, fresh);
+    }
+
+    /// A machine as the plan sees it; `None` if nothing may be planned there.
+    fn server_of(&mut self, now: Time, id: MachineId) -> Option<Server> {
+        if self.fleet.is_returning(id) {
+            return None;
+        }
+        // Services fill cheap machines that are in use; other tasks go to spot machines first. The
+        // fuller machine is preferred, so that others become idle and can be given back.
+        let bias = |flavor: &crate::wire::Flavor, spot: bool, free: &Room| {
+            let price = (flavor.price / flavor.cpus.max(1.0) * 1e4) as u64;
+            (price << 32 | free.cpus, u64::from(!spot) << 32 | free.cpus)
+        };
+        if let Some(m) = self.machines.get_mut(&id) {
+            let overdue = Span::secs(self.settings.deployment.workers.report_s * 2.0 + 2.0);
+            let flavor = self.fleet.flavor(&m.record.kind)?;
+            if m.capacity == Room::default() {
+                m.capacity = intake::capacity(flavor);
+            }
+            if m.draining.is_some() || m.notice.is_some() || now.since(m.reached) > overdue {
+                return None;
             }
-            seen.insert(*id);
-            let ready = if m.usable() { now } else { now + Span(500) };
-            let releases = m
-                .holds
-                .values()
-                .filter(|h| h.occupies())
-                .filter_map(|h| release(h, now).map(|at| (at, h.need)))
-                .collect();
+            let mut releases: Vec<(Time, Room)> = Vec::new();
             let mut soft = Room::default();
-            for hold in m.holds.values().filter(|h| pushable(h, 0)) {
-                soft.add(&hold.need);
-            }
-            let room = (m.free(), soft);
-            refreshed.push((*id, m.record.zone.clone(), ready, room, releases, m.record.kind.clone(), m.record.spot));
-        }
-        for (id, b) in self.fleet.booting() {
-            let Some(flavor) = self.fleet.flavor(&b.kind) else { continue };
-            seen.insert(*id);
-            let expected = b.since + Span::secs(flavor.boot_s * 1.05);
-            let ready = expected.max(now + Span(2000));
-            let free = intake::capacity(flavor);
-            refreshed.push((*id, b.zone.clone(), ready, (free, Room::default()), Vec::new(), b.kind.clone(), b.spot));
-        }
-        for (id, zone, ready, (free, soft), releases, kind, spot) in refreshed {
-            let zone = match self.zones.iter().position(|z| *z == zone) {
-                Some(at) => at,
-                None => {
-                    self.zones.push(zone);
-                    self.zones.len() - 1
+            for hold in m.holds.values().filter(|h| h.occupies()) {
+                releases.extend(release(hold, now).map(|at| (at, hold.need)));
+                if pushable(hold, 0) {
+                    soft.add(&hold.need);
                 }
-            };
-            // Services fill cheap machines that are in use; other tasks go to spot machines first. The
-            // fuller machine is preferred, so that others become idle and can be given back.
-            let price = self.fleet.flavor(&kind).map_or(0, |f| (f.price / f.cpus.max(1.0) * 1e4) as u64);
-            let bias = (price << 32 | free.cpus, u64::from(!spot) << 32 | free.cpus);
-            self.plans.refresh(now, Server { id, zone, ready, bias, free, soft, releases, queue: Vec::new() });
-        }
-        let gone: Vec<MachineId> = self.plans.servers().map(|s| s.id).filter(|id| !seen.contains(id)).collect();
-        for id in gone {
-            self.plans.remove(id);
-        }
+            }
+            let free = m.free();
+            let fetched = m.holds.values().filter(|h| h.occupies()).map(|h| &h.image);
+            return Some(Server {
+                id,
+                zone: index_of(&mut self.names.zones, &m.record.zone),
+                kind: index_of(&mut self.names.kinds, &m.record.kind),
+                spot: m.record.spot,
+                ready: now,
+                slack: if m.usable() { Span(0) } else { Span(500) },
+                bias: bias(flavor, m.record.spot, &free),
+                free,
+                soft,
+                releases,
+                images: self.names.images(m.images.iter().chain(fetched)),
+                ..Server::default()
+            });
+        }
+        let b = self.fleet.booting_one(id)?;
+        let flavor = self.fleet.flavor(&b.kind)?;
+        let free = intake::capacity(flavor);
+        Some(Server {
+            id,
+            zone: index_of(&mut self.names.zones, &b.zone),
+            kind: index_of(&mut self.names.kinds, &b.kind),
+            spot: b.spot,
+            ready: b.since + Span::secs(flavor.boot_s * 1.05),
+            slack: Span(2000),
+            bias: bias(flavor, b.spot, &free),
+            free,
+            ..Server::default()
+        })
     }
 
-    /// What each team's tasks use, or may use.
+    /// What each team's tasks use, or may use; nothing is counted where no team has a limit.
     fn team_use(&self) -> HashMap<String, Room> {
         let mut used: HashMap<String, Room> = HashMap::new();
+        if !self.limited() {
+            return used;
+        }
         for machine in self.machines.values() {
             for hold in machine.holds.values().filter(|h| h.occupies()) {
                 // A task whose job is over still counts; its team is not known any more, so it
@@ -277,27 +366,60 @@
         job.durable && !job.cancelling && !job.pending.is_empty() && job.not_before <= now && (self.open() || job.ours)
     }
 
+    /// Of jobs that have waited long without any task begun one task goes before all but services.
+    ///
+    /// The paper's priorities are absolute: under a lasting overload of a higher one, a lower one would
+    /// never start (docs/design.md, exception 8).
+    fn promote_forsaken(&mut self, now: Time) {
+        let forsaken: Vec<JobId> = self
+            .book
+            .waiting()
+            .filter(|j| {
+                let begun = !j.placed.is_empty() || !j.done.is_empty();
+                j.urgency > PROMOTED && !begun && self.startable(j, now) && now.since(j.submitted) >= FORSAKEN
+            })
+            .map(|j| j.record.id)
+            .collect();
+        for id in forsaken {
+            info!("promoted {id}: nothing of it has begun");
+            self.plans.remove_job(id);
+            self.book.promote(id, PROMOTED);
+        }
+    }
+
     /// Places what waits unplanned, most important first.
     fn plan_waiting(&mut self, now: Time, used: &HashMap<String, Room>) {
-        let mut waiting: Vec<(Order, JobId, u32)> = self
+        self.untried = None;
+        self.book.settle_waiting();
+        let waiting: Vec<(JobId, u32)> = self
             .book
-            .live()
+            .waiting()
             .filter(|j| self.startable(j, now) && self.within_limit(used, j, 1))
             .filter_map(|j| {
                 let left = j.pending.len().saturating_sub(self.plans.planned(j.record.id));
-                (left > 0).then_some((order_of(j), j.record.id, left))
+                // Of a promoted job one task goes first; the others follow at their own rank.
+                let left = if j.promoted() { left.min(1 - self.plans.planned(j.record.id).min(1)) } else { left };
+                (left > 0).then_some((j.record.id, left))
             })
             .collect();
-        waiting.sort_unstable();
-        // Like tasks that found no machine in this round are not tried one by one.
+        // Like tasks that found no machine in this round are not tried one by one, nor larger ones.
         let mut hopeless: Vec<(Room, bool, bool)> = Vec::new();
-        for (_, id, left) in waiting {
+        let servers = self.plans.servers().count();
+        let mut looks = 0;
+        for (id, left) in waiting {
             let Some(job) = self.book.get(id) else { continue };
-            let class = (job.record.need, job.record.spot, job.record.service);
+            let (need, spot, service) = (job.record.need, job.record.spot, job.record.service);
             let plain = job.record.types.is_none() && job.record.zone.is_none();
-            if plain && hopeless.contains(&class) {
+            if plain && hopeless.iter().any(|(n, p, s)| (*p, *s) == (spot, service) && n.fits(&need)) {
                 continue;
             }
+            if looks >= LOOKS {
+                // The rest is for the next round, so that reports and users are not kept waiting.
+                self.dirty = true;
+                self.untried = Some(order_of(job));
+                break;
+            }
+            looks += servers;
             let entry = entry_of(job);
             let want = left.min(BATCH);
             let mut plans = std::mem::take(&mut self.plans);
@@ -305,7 +427,7 @@
             let placed = plans.place(now, entry, want, &parts);
             self.plans = plans;
             if placed < want && plain && !entry.tied {
-                hopeless.push(class);
+                hopeless.push((need, spot, service));
             }
         }
     }
@@ -320,7 +442,7 @@
             return false;
         }
         if job.record.spread || job.record.together {
-            let Some(zone) = parts.zone(&machine.record.zone) else { return false };
+            let Some(zone) = self.names.zone(&machine.record.zone) else { return false };
             let zones = parts.by_zone(job);
             if job.record.together && zones.keys().any(|z| *z != zone) {
                 return false;
@@ -331,9 +453,8 @@
     }
 
     /// Starts what has room on the machine that it was planned for.
-    fn start_planned(&mut self, now: Time, used: &mut HashMap<String, Room>) {
-        let ids: Vec<MachineId> = self.plans.servers().filter(|s| !s.queue.is_empty()).map(|s| s.id).collect();
-        for id in ids {
+    fn start_planned(&mut self, now: Time, ids: &[MachineId], used: &mut HashMap<String, Room>) {
+        for id in ids.iter().copied() {
             let mut at = 0;
             while let Some(entry) = self.plans.server(id).and_then(|s| s.queue.get(at)).copied() {
                 let (Some(machine), Some(job)) = (self.machines.get(&id), self.book.get(entry.job)) else { break };
@@ -379,39 +500,44 @@
                 reapable: false,
                 claimed: true,
                 need: entry.need,
-                rank: entry.order.rank,
+                rank: job.record.rank,
                 image: job.record.image.clone(),
                 since: now,
                 running_since: None,
                 predicted: (!entry.endless).then_some(entry.run),
             },
         );
-        machine.wants_command = true;
+        let (promoted, rank) = (job.promoted(), job.record.rank);
+        self.plans.set_free(id, machine.free());
+        if promoted {
+            self.book.promote(entry.job, rank);
+        }
+        self.wanting.insert(id);
+        self.changed.insert(id);
+        self.dirty = true;
     }
 
     /// Machines with nothing planned take the highest-priority fitting task from other plans.
-    fn steal(&mut self, now: Time, used: &mut HashMap<String, Room>) {
-        let idle: Vec<MachineId> = self
-            .plans
-            .servers()
-            .filter(|s| s.queue.is_empty() && s.free.cpus > 0 && self.machines.get(&s.id).is_some_and(Machine::usable))
-            .map(|s| s.id)
-            .collect();
-        if idle.len() == self.plans.servers().count() {
-            return;
-        }
-        for id in idle {
+    fn steal(&mut self, now: Time, ids: &[MachineId], used: &mut HashMap<String, Room>) {
+        for id in ids.iter().copied() {
             for _ in 0..64 {
+                if self.plans.waiting().next().is_none() {
+                    return;
+                }
+                let Some(machine) = self.machines.get(&id).filter(|m| m.usable()) else { break };
+                let free = machine.free();
+                if free.cpus == 0 || self.plans.server(id).is_none_or(|s| !s.queue.is_empty()) {
+                    break;
+                }
                 let mut plans = std::mem::take(&mut self.plans);
-                let Some(machine) = self.machines.get(&id) else { break };
-                plans.set_free(id, machine.free());
+                plans.set_free(id, free);
                 let parts = self.parts();
-                let taken = plans.steal(id, &|entry, _| {
+                let taken = plans.steal(id, &|entry, me| {
                     let job = self.book.get(entry.job)?;
                     if !self.may_start(job, machine, now, used) {
                         return None;
                     }
-                    parts.predicted(job, id)
+                    parts.profile_of(job).predict(me)
                 });
                 self.plans = plans;
                 let Some(entry) = taken else { break };
@@ -427,7 +553,9 @@
     /// that lose least work go first.
     fn make_room(&mut self, now: Time) {
         let mut stops: Vec<(MachineId, Attempt, JobId)> = Vec::new();
-        for server in self.plans.servers() {
+        let pressed: BTreeSet<MachineId> =
+            self.plans.waiting().take_while(|(order, ..)| order.rank == 0).flat_map(|(.., at)| at).collect();
+        for server in pressed.iter().filter_map(|id| self.plans.server(*id)) {
             let Some(machine) = self.machines.get(&server.id).filter(|m| m.usable()) else { continue };
             let mut free = machine.free();
             for hold in machine.holds.values().filter(|h| h.occupies() && h.stop.is_some()) {
@@ -460,11 +588,11 @@
             }
         }
         for (id, attempt, job) in stops {
-            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            let Some(machine) = self.machines.get(&id) else { continue };
             if let Some(hold) = machine.holds.get(&attempt) {
                 info!("preempted {} machine={id} for={job}", hold.task);
             }
-            machine.stop(attempt, 0.0);
+            self.stop(id, attempt, 0.0);
         }
     }
 
@@ -488,10 +616,11 @@
     /// Saves what can be saved on machines that the cloud takes back.
     fn drain_noticed(&mut self, now: Time) {
         let slack = Span::secs(self.settings.deployment.workers.report_s * 0.5 + 1.0);
-        for machine in self.machines.values_mut() {
+        let mut stops = Vec::new();
+        self.noticed.retain(|id| self.machines.contains_key(id));
+        for machine in self.noticed.iter().filter_map(|id| self.machines.get(id)) {
             let Some(until) = machine.notice else { continue };
             let left = Span(until.0.saturating_sub(now.0));
-            let mut stops = Vec::new();
             for (attempt, hold) in machine.holds.iter().filter(|(_, h)| h.claimed && h.occupies() && h.stop.is_none()) {
                 let Some(job) = self.book.get(hold.task.job) else { continue };
                 let ends = release(hold, now).unwrap_or(Time::NEVER);
@@ -500,14 +629,22 @@
                 }
                 let save = job.record.save;
                 if job.record.checkpoint.0 == 0 {
-                    stops.push((*attempt, 0.0));
+                    stops.push((machine.id(), *attempt, 0.0));
                 } else if left <= save + slack + Span(500) {
-                    stops.push((*attempt, save.as_secs()));
+                    stops.push((machine.id(), *attempt, save.as_secs()));
                 }
             }
-            for (attempt, grace) in stops {
-                machine.stop(attempt, grace);
-            }
+        }
+        for (id, attempt, grace) in stops {
+            self.stop(id, attempt, grace);
+        }
+    }
+
+    /// Orders an attempt to stop and sees to it that the machine is told.
+    pub(crate) fn stop(&mut self, id: MachineId, attempt: Attempt, grace_s: f64) {
+        if self.machines.get_mut(&id).is_some_and(|m| m.stop(attempt, grace_s)) {
+            self.wanting.insert(id);
+            self.changed.insert(id);
         }
     }
 
@@ -515,7 +652,8 @@
     fn demands(&self, now: Time) -> Vec<Demand> {
         let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(f64::MAX, f64::min);
         let boot = Span::secs(if boots == f64::MAX { 30.0 } else { boots });
-        // Apart are those that would wait so long that ordinary machines are rented for them too.
+        // Apart are those for which ordinary machines are rented too.
+        let no_spot = self.fleet.spot_refused(now);
         let mut counts: BTreeMap<(Order, JobId, bool), u32> = BTreeMap::new();
         for server in self.plans.servers().filter(|s| !s.queue.is_empty()) {
             for (entry, start) in self.plans.starts(server.id, now) {
@@ -529,15 +667,19 @@
                     }
                 };
                 if late {
-                    let long = start.is_some_and(|at| at > now + SPOT_PATIENCE);
+                    let long =
+                        no_spot && self.book.get(entry.job).is_some_and(|j| self.worth(j, now, start, entry.run, boot));
                     *counts.entry((entry.order, entry.job, long)).or_insert(0) += 1;
                 }
             }
         }
-        for job in self.book.live().filter(|j| self.startable(j, now)) {
+        // What was not looked at in this round may find room yet.
+        let tried = |j: &&Job| self.untried.is_none_or(|from| order_of(j) < from);
+        for job in self.book.waiting().filter(|j| self.startable(j, now)).filter(tried) {
             let left = job.pending.len().saturating_sub(self.plans.planned(job.record.id));
             if left > 0 {
-                let long = now.since(job.submitted) > SPOT_PATIENCE;
+                let run = self.correction.predict(job.record.estimate);
+                let long = no_spot && self.worth(job, now, None, run, boot);
                 *counts.entry((order_of(job), job.record.id, long)).or_insert(0) += left;
             }
         }
@@ -574,7 +716,8 @@
     fn expected_services(&self, boot_s: f64) -> Option<(&Job, u64)> {
         const WINDOW: Span = Span(120_000);
         const SLOT: Span = Span(10_000);
-        // Jobs that come all at once, as at a start, say little of what comes next.
+        // Jobs that come all at once, as at a start, say little of what comes next: a slot counts for no
+        // more than this, or than three ordinary ones.
         const SLOT_LIMIT: u32 = 6;
         let mut slots: BTreeMap<u64, u32> = BTreeMap::new();
         let mut typical: Option<&Job> = None;
@@ -589,7 +732,10 @@
             }
         }
         let job = typical?;
-        let rate = slots.values().map(|n| f64::from((*n).min(SLOT_LIMIT))).sum::<f64>() / WINDOW.as_secs();
+        let mut sizes: Vec<u32> = (0..WINDOW.0 / SLOT.0).map(|n| slots.get(&n).copied().unwrap_or(0)).collect();
+        sizes.sort_unstable();
+        let limit = SLOT_LIMIT.max(3 * sizes[sizes.len() / 2]);
+        let rate = sizes.iter().map(|n| f64::from((*n).min(limit))).sum::<f64>() / WINDOW.as_secs();
         Some((job, ((rate * (boot_s + 10.0) * 1.5).ceil() as u64).max(3)))
     }
 
@@ -597,10 +743,10 @@
     /// would be up: without room, even that of lower tasks, they would wait for the boot.
     fn headroom(&self, boot: Span) -> Option<Demand> {
         let (job, wanted) = self.expected_services(boot.as_secs())?;
-        let parts = self.parts();
+        let profile = self.parts().profile_of(job);
         let mut there = 0;
         for server in self.plans.servers() {
-            if parts.allowed(job, server.id) {
+            if profile.predict(server).is_some() {
                 let mut room = server.free;
                 room.add(&server.soft);
                 there += job.record.need.times_in(&room);
@@ -618,6 +764,31 @@
         })
     }
 
+    /// Whether ordinary machines may be rented for a task that could wait for a spot machine: several
+    /// times as dear, they are for what would else miss an aim that nearly all must meet, and for what
+    /// has waited very long.
+    fn worth(&self, job: &Job, now: Time, start: Option<Time>, run: Span, boot: Span) -> bool {
+        let waited = now.since(job.submitted);
+        if start.is_none_or(|at| at > now + SPOT_PATIENCE / 4) && waited >= SPOT_PATIENCE {
+            return true;
+        }
+        let Some(due) = self.due(job) else { return start.is_some_and(|at| at > now + SPOT_PATIENCE) };
+        // Predictions made at once are poor: most backlogs are over sooner.
+        let settled = waited.0 * 3 >= due.since(job.submitted).0;
+        settled && start.is_none_or(|at| at + run > due) && now + boot + run <= due
+    }
+
+    /// When a job must be over for an aim that allows few misses.
+    fn due(&self, job: &Job) -> Option<Time> {
+        const STRICT: f64 = 0.875;
+        let aims = || self.settings.deployment.objectives.iter().filter(|o| o.class == job.record.class);
+        if job.record.deadline.is_some() && aims().any(|o| o.kind == "deadline" && o.share >= STRICT) {
+            return Some(job.deadline());
+        }
+        let strict = aims().filter(|o| o.kind == "finished" && o.share >= STRICT).filter_map(|o| o.within_s);
+        strict.reduce(f64::min).map(|within| job.submitted + Span::secs(within))
+    }
+
     /// When a job's tasks should be over: its deadline, or what the settings aim at for its class.
     fn goal(&self, job: &Job) -> Time {
         if job.record.deadline.is_some() {
@@ -628,7 +799,7 @@
             .filter(|o| o.kind == "finished" && o.class == job.record.class)
             .filter_map(|o| o.within_s)
             .fold(f64::MAX, f64::min);
-        if within == f64::MAX { Time(0) } else { job.submitted + Span::secs(within * 0.5) }
+        if within == f64::MAX { Time(0) } else { job.submitted + Span::secs(within * 0.25) }
     }
 
     /// How many tasks of a job its team's limit lets run at once.
@@ -653,19 +824,31 @@
         for d in &demands {
             debug!("demand job={} count={} spot={} ordinary={}", d.job, d.count, d.spot, d.ordinary);
         }
-        let mut zones: BTreeMap<String, u64> = BTreeMap::new();
-        for machine in self.machines.values().filter(|m| !m.record.spot) {
-            *zones.entry(machine.record.zone.clone()).or_insert(0) += machine.capacity.cpus;
+        let mut zones: BTreeMap<(String, bool), u64> = BTreeMap::new();
+        for m in self.machines.values() {
+            *zones.entry((m.record.zone.clone(), m.record.spot)).or_insert(0) += m.capacity.cpus;
         }
-        for (_, b) in self.fleet.booting().filter(|(_, b)| !b.spot) {
+        for (_, b) in self.fleet.booting() {
             let cpus = self.fleet.flavor(&b.kind).map_or(0, |f| intake::capacity(f).cpus);
-            *zones.entry(b.zone.clone()).or_insert(0) += cpus;
+            *zones.entry((b.zone.clone(), b.spot)).or_insert(0) += cpus;
         }
         let fleet = &self.fleet;
-        let refused = |place: &Place| fleet.refused(place, now);
+        let avoided = &self.lost_zones;
+        let refused = |place: &Place| {
+            fleet.refused(place, now) || avoided.get(&place.1).is_some_and(|at| now.since(*at) < AVOID_ZONE)
+        };
         let counts = fleet::choose(&demands, self.fleet.flavors().unwrap_or_default(), &refused, &mut zones);
         let mut events = Vec::new();
-        for (place, count) in counts.into_iter().take(4) {
+        // Ordinary machines first: services have no other place.
+        let mut calls: Vec<(Place, u32)> = counts
+            .into_iter()
+            .flat_map(|(place, count)| {
+                let parts = count.div_ceil(fleet::RENT_LIMIT);
+                (0..parts).map(move |i| (place.clone(), (count - i * fleet::RENT_LIMIT).min(fleet::RENT_LIMIT)))
+            })
+            .collect();
+        calls.sort_by_key(|(place, count)| (place.2, std::cmp::Reverse(*count)));
+        for (place, count) in calls.into_iter().take(self.fleet.calls_left()) {
             self.fleet.rent(now, &place, count, &mut events);
         }
         self.hired(now, wall, events, out);
@@ -704,7 +887,7 @@
         m.draining = Some(CONSOLIDATED);
         let attempts: Vec<_> = m.holds.iter().filter(|(_, h)| h.occupies()).map(|(a, _)| *a).collect();
         for attempt in attempts {
-            m.stop(attempt, 0.0);
+            self.stop(id, attempt, 0.0);
         }
         self.plans.remove(id);
     }
@@ -727,7 +910,7 @@
             let zones = parts.by_zone(job);
             let mut found = false;
             for (m, room) in &mut rooms {
-                let Some(zone) = parts.zone(&m.record.zone) else { continue };
+                let Some(zone) = self.names.zone(&m.record.zone) else { continue };
                 let there =
                     zones.get(&zone).copied().unwrap_or(0) + moved.get(&(job.record.id, zone)).copied().unwrap_or(0);
                 // Counted as if the replica stayed where it is: on the safe side.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -181,6 +181,19 @@
     pub fd_limit: u64,
 }
 
+impl Resources {
+    /// Direct commands that may be under way at once: most sockets are for workers and users.
+    pub fn commands_at_once(&self) -> usize {
+        (self.fd_limit / 12).clamp(8, 200) as usize
+    }
+    /// Connections that are taken from workers and users; the others are for the state service, the
+    /// cloud, commands to workers, and peers.
+    pub fn connections(&self) -> usize {
+        let reserved = 2 * self.commands_at_once() as u64 + 50;
+        self.fd_limit.saturating_sub(reserved).max(16) as usize
+    }
+}
+
 fn default_fds() -> u64 {
     512
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -67,7 +67,7 @@
 macro_rules! named {
     ($(#[$doc:meta])* $name:ident, $prefix:literal) => {
         $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
         #[serde(transparent)]
         pub struct $name(pub u64);
         impl fmt::Display for $name {
@@ -141,6 +141,13 @@
     }
 }
 
+impl std::ops::Div<u64> for Span {
+    type Output = Span;
+    fn div(self, by: u64) -> Span {
+        Span(self.0 / by)
+    }
+}
+
 /// An instant of this process's steady clock, in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -112,8 +112,16 @@
     pub seq: Seq,
     /// Whether it has seen this leader's token.
     pub fenced: bool,
+    /// Its last report, answers to direct commands not counted: it has one under way at a time, so that
+    /// what is not newer is a late copy, to whose answer nobody listens.
+    pub last_report: (Session, Seq),
+    /// The last report that was answered.
+    pub told: (Session, Seq),
     /// When it was heard of last.
     pub heard: Time,
+    /// When it was last certain that something of ours reaches it. A machine whose reports arrive while
+    /// answers and commands do not reach it is as good as silent.
+    pub reached: Time,
     /// When a report of it was answered last.
     pub answered: Time,
     /// When it came into this leader's view.
@@ -126,11 +134,9 @@
     pub images: BTreeSet<String>,
     /// Direct command under way.
     pub flight: Option<Flight>,
-    /// A direct command should be sent soon.
-    pub wants_command: bool,
     /// Last direct attempt to reach it.
     pub probed: Time,
-    /// Direct attempts without answer since it was heard of.
+    /// Direct attempts without answer since something reached it.
     pub unanswered: u32,
     /// Gets no new tasks; why.
     pub draining: Option<&'static str>,
@@ -180,14 +186,16 @@
             session: Session(0),
             seq: Seq(0),
             fenced: false,
+            last_report: (Session(0), Seq(0)),
+            told: (Session(0), Seq(0)),
             heard: now,
+            reached: now,
             answered: now,
             since: now,
             notice: None,
             holds: BTreeMap::new(),
             images: BTreeSet::new(),
             flight: None,
-            wants_command: false,
             probed: Time(0),
             unanswered: 0,
             draining: None,
@@ -220,6 +228,31 @@
         self.holds.values().any(|h| h.task == task)
     }
 
+    /// Notes a report's place among the others; false for a late copy of one, which shows nothing,
+    /// renews nothing and needs no answer.
+    ///
+    /// A report that is older than the answer to a direct command is no copy: its worker may be waiting
+    /// for it, and an answer would renew its lease.
+    pub fn report(&mut self, now: Time, report: &Report, others: bool) -> bool {
+        let order = (Session(report.session), Seq(report.seq));
+        if order <= self.last_report || order.0 < self.session {
+            return false;
+        }
+        self.last_report = order;
+        // A worker whose report got no answer goes to another node: one that comes back at once with
+        // the next report has taken the last answer in.
+        if others && order == (self.told.0, Seq(self.told.1.0 + 1)) {
+            self.reached(now);
+        }
+        true
+    }
+
+    /// Something of ours has surely reached the machine.
+    pub fn reached(&mut self, now: Time) {
+        self.reached = now;
+        self.unanswered = 0;
+    }
+
     /// Takes a message (report or answer to a command) and says what it showed.
     ///
     /// Older messages than the last one change nothing: their task list is as old as they are.
@@ -241,13 +274,13 @@
         }
         self.seq = seq;
         self.heard = now;
-        self.unanswered = 0;
         self.record.endpoint.clone_from(&report.endpoint);
         self.notice = report.notice_s.map(|s| now + Span::secs(s));
         if report.token == token.0 && !self.fenced {
             self.fenced = true;
             // An earlier leader may have renewed the lease up to now, but no longer.
             self.answered = now;
+            self.reached(now);
             out.push(Event::Fenced);
         }
         if !self.fenced {
@@ -308,7 +341,11 @@
             out.push(Event::Found(attempt, task));
         }
         let Some(hold) = self.holds.get_mut(&attempt) else { return };
-        hold.seen = true;
+        if !std::mem::replace(&mut hold.seen, true) {
+            // It has taken our order in.
+            self.reached = now;
+            self.unanswered = 0;
+        }
         if hold.phase == phase {
             return;
         }
@@ -399,8 +436,10 @@
     }
 
     /// A direct command was answered (`answered`) or may still be executed.
-    pub fn command_over(&mut self, command: u64, answered: bool) {
-        if !answered {
+    pub fn command_over(&mut self, now: Time, command: u64, answered: bool) {
+        if answered {
+            self.reached(now);
+        } else {
             self.unanswered += 1;
         }
         if self.flight.is_some_and(|f| f.id == command) {
@@ -411,16 +450,17 @@
         }
     }
 
-    /// Orders a claimed attempt to stop.
-    pub fn stop(&mut self, attempt: Attempt, grace_s: f64) {
+    /// Orders an attempt to stop; true if the machine is to be told.
+    pub fn stop(&mut self, attempt: Attempt, grace_s: f64) -> bool {
         if let Some(hold) = self.holds.get_mut(&attempt)
             && hold.occupies()
             && hold.stop.is_none_or(|g| g > grace_s)
         {
             hold.stop = Some(grace_s);
             hold.stop_sent = false;
-            self.wants_command = true;
+            return true;
         }
+        false
     }
 }
 
@@ -491,6 +531,46 @@
         assert!(out.is_empty() && m.holds.len() == 1);
     }
 
+    /// A late copy of a report shows nothing and counts as no answered report; a report that was passed
+    /// by the answer to a direct command is no copy, since its worker may be waiting for the answer.
+    #[test]
+    fn only_a_newer_report_counts() {
+        let (mut m, mut out) = (machine(), Vec::new());
+        assert!(m.report(Time(100), &report(1, 5, 7, json!([])), true));
+        m.message(Time(100), &report(1, 5, 7, json!([])), Token(7), &mut out);
+        m.message(Time(110), &report(1, 7, 7, json!([])), Token(7), &mut out); // answer to a command
+        assert!(m.report(Time(120), &report(1, 6, 7, json!([])), true));
+        assert!(!m.report(Time(130), &report(1, 6, 7, json!([])), true), "once more");
+        assert!(!m.report(Time(140), &report(1, 4, 7, json!([])), true), "an old one");
+        m.message(Time(150), &report(2, 1, 7, json!([])), Token(7), &mut out);
+        assert!(!m.report(Time(160), &report(1, 9, 7, json!([])), true), "of a session that is over");
+    }
+
+    /// Reports alone do not show that anything of ours arrives: only the next report after an answered
+    /// one, an order that took effect, our token, or the answer to a command do.
+    #[test]
+    fn a_deaf_machine_is_told_from_one_that_hears() {
+        let (mut m, mut out) = (machine(), Vec::new());
+        let mut hear = |m: &mut Machine, at: u64, r: &Report| {
+            assert!(m.report(Time(at), r, true));
+            m.message(Time(at), r, Token(7), &mut out);
+            m.told = m.last_report;
+        };
+        hear(&mut m, 100, &report(1, 5, 7, json!([])));
+        assert_eq!(m.reached, Time(100), "it has seen our token");
+        hear(&mut m, 2100, &report(1, 6, 7, json!([])));
+        assert_eq!(m.reached, Time(2100), "it came back with the next one");
+        m.command_over(Time(4000), 1, false);
+        hear(&mut m, 12_100, &report(1, 8, 7, json!([])));
+        assert_eq!((m.reached, m.unanswered), (Time(2100), 1), "it went elsewhere in between");
+        m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::Lost));
+        hear(&mut m, 22_100, &report(1, 10, 7, json!([])));
+        assert_eq!(m.reached, Time(2100), "the order had no effect");
+        let fetching = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "fetching"}]);
+        hear(&mut m, 32_100, &report(1, 12, 7, fetching));
+        assert_eq!((m.reached, m.unanswered), (Time(32_100), 0), "the order took effect");
+    }
+
     #[test]
     fn a_start_in_doubt_is_settled_by_run_and_kill_and_not_reaped() {
         let mut m = machine();
--- /dev/null
+++ b/tests/grown.rs
@@ -0,0 +1,108 @@
+//! The grown size against stand-ins, in simulated time: some 1,000 machines and five controllers, many
+//! small machines and seven controllers. No rule may break, nobody may be left out or forgotten.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{Sim, Site};
+
+fn service(pieces: u64, cores: f64, image: u64) -> Vec<(&'static str, Value)> {
+    vec![
+        ("Lane", json!("live")),
+        ("Shape", json!("standing")),
+        ("Rank", json!("prod")),
+        ("RuntimeS", json!(0)),
+        ("Pieces", json!(pieces)),
+        ("Spread", json!(true)),
+        ("Cores", json!(cores)),
+        ("Reel", json!(format!("live-{image}"))),
+    ]
+}
+
+fn array(pieces: u64, cores: f64, run_s: f64, rank: &str) -> Vec<(&'static str, Value)> {
+    vec![
+        ("Pieces", json!(pieces)),
+        ("Rank", json!(rank)),
+        ("Cores", json!(cores)),
+        ("RuntimeS", json!(run_s)),
+        ("Loaners", json!(true)),
+    ]
+}
+
+/// Everything accepted is done or, if it is a service, runs in full.
+fn all_served(sim: &Sim) {
+    assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+    for (id, job) in &sim.jobs {
+        let pieces = job.pieces() as usize;
+        assert!(
+            job.told == "done" || sim.running(id) == pieces,
+            "{id} is {}: {} of {pieces}",
+            job.told,
+            sim.running(id)
+        );
+    }
+}
+
+#[test]
+fn a_thousand_machines_and_a_lost_leader() {
+    let mut sim = Sim::at(Site::grown(), 3);
+    for n in 0..200 {
+        let pieces = [2, 2, 4, 16][n % 4];
+        sim.submit(&format!("job-{n:06}"), &service(pieces, 4.0, n as u64 % 6));
+    }
+    for n in 200..290 {
+        let pieces = [30, 70, 70, 400][n % 4];
+        sim.submit(&format!("job-{n:06}"), &array(pieces, 2.0, 20.0, "standard"));
+    }
+    sim.run_until(60_000);
+    let leader = sim.leader().expect("somebody leads");
+    sim.crash(leader);
+    sim.run_until(66_000);
+    sim.start(leader);
+    sim.mend();
+    sim.run_until(200_000);
+    all_served(&sim);
+    assert!(sim.workers.len() > 100, "{} machines", sim.workers.len());
+}
+
+#[test]
+fn many_small_machines_and_all_controllers_lost() {
+    let mut sim = Sim::at(Site::many_small(), 5);
+    for n in 0..50 {
+        sim.submit(&format!("job-{n:06}"), &service([3, 4, 9][n % 3], 1.0, n as u64 % 6));
+    }
+    for n in 50..70 {
+        sim.submit(&format!("job-{n:06}"), &array([35, 60, 250][n % 3], 2.0, 10.0, "standard"));
+    }
+    sim.run_until(45_000);
+    (0..7).for_each(|n| sim.bounce(n, 300 + n as u64 * 700));
+    sim.run_until(50_000);
+    sim.mend();
+    sim.run_until(300_000);
+    all_served(&sim);
+}
+
+/// Under a lasting overload by a higher rank, a lower one and the largest jobs still begin within four
+/// minutes.
+#[test]
+fn under_overload_nobody_is_left_out() {
+    let mut sim = Sim::new(11);
+    // 64 CPUs on spot machines and 64 others; twice as much is asked for, over and over.
+    for n in 0..6 {
+        sim.submit(&format!("job-{n:06}"), &array(30, 4.0, 60.0, "standard"));
+    }
+    let low: Vec<String> = (900..904).map(|n| format!("job-{n:06}")).collect();
+    for (n, id) in low.iter().enumerate() {
+        sim.submit(id, &array([2, 4, 8, 40][n], 2.0, 20.0, "low"));
+    }
+    for n in 0..40u64 {
+        sim.run_until(20_000 + n * 10_000);
+        sim.submit(&format!("job-{:06}", 100 + n), &array(12, 4.0, 60.0, "standard"));
+    }
+    assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+    for id in &low {
+        let job = &sim.jobs[id];
+        let begun = job.begun.unwrap_or_else(|| panic!("{id} has not begun"));
+        assert!(begun - job.accepted_at < 240_000, "{id} began after {} ms", begun - job.accepted_at);
+    }
+}
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -21,6 +21,12 @@
     Die(u64),
     Sick(u64),
     Notice(u64),
+    Deafen(u64),
+    Copies(u64, u64),
+    Corner(usize),
+    Uncorner,
+    Bounce(usize, u64),
+    Blink(u64, u64),
     Submit(u8),
     Cancel(u8),
 }
@@ -32,14 +38,20 @@
         1 => Just(Fault::CrashAll),
         4 => node.clone().prop_map(Fault::Start),
         1 => any::<bool>().prop_map(Fault::StateDown),
-        1 => (node, any::<bool>()).prop_map(|(n, d)| Fault::Deaf(n, d)),
+        1 => (node.clone(), any::<bool>()).prop_map(|(n, d)| Fault::Deaf(n, d)),
         1 => (1u32..4).prop_map(Fault::LoseAnswers),
         2 => machine.clone().prop_map(Fault::Cut),
         3 => machine.clone().prop_map(Fault::Heal),
         2 => machine.clone().prop_map(Fault::HoldCommands),
         1 => machine.clone().prop_map(Fault::Die),
         1 => machine.clone().prop_map(Fault::Sick),
-        1 => machine.prop_map(Fault::Notice),
+        1 => machine.clone().prop_map(Fault::Notice),
+        2 => machine.clone().prop_map(Fault::Deafen),
+        1 => (0u64..60, 500u64..40_000).prop_map(|(n, late)| Fault::Copies(n, late)),
+        1 => node.clone().prop_map(Fault::Corner),
+        1 => Just(Fault::Uncorner),
+        2 => (node.clone(), 50u64..900).prop_map(|(n, ms)| Fault::Bounce(n, ms)),
+        1 => (machine, 50u64..900).prop_map(|(m, ms)| Fault::Blink(m, ms)),
         5 => any::<u8>().prop_map(Fault::Submit),
         2 => any::<u8>().prop_map(Fault::Cancel),
     ]
@@ -67,7 +79,6 @@
         Fault::Cut(n) => nth(sim, *n).into_iter().for_each(|m| sim.cut(m)),
         Fault::Heal(n) => {
             if let Some(m) = nth(sim, *n) {
-                sim.hold_commands.remove(&m);
                 sim.heal(m);
             }
         }
@@ -80,6 +91,16 @@
             }
         }
         Fault::Notice(n) => nth(sim, *n).into_iter().for_each(|m| sim.notice(m, 8)),
+        Fault::Deafen(n) => sim.deaf.extend(nth(sim, *n)),
+        Fault::Copies(share, late) => sim.copies = (*share, *late),
+        Fault::Corner(n) => sim.corner(*n),
+        Fault::Uncorner => sim.uncorner(),
+        Fault::Bounce(n, ms) => sim.bounce(*n, *ms),
+        Fault::Blink(n, ms) => {
+            if let Some(m) = nth(sim, *n) {
+                sim.blink(m, *ms);
+            }
+        }
         Fault::Submit(n) if !sim.jobs.contains_key(&name(*n)) => {
             let id = name(*n);
             match n % 4 {
@@ -132,14 +153,7 @@
             prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
         }
         // All is mended: what was accepted must end.
-        sim.state.down = false;
-        sim.state.deaf.clear();
-        (0..3).for_each(|n| sim.start(n));
-        let machines: Vec<u64> = sim.workers.keys().copied().collect();
-        for m in machines {
-            sim.hold_commands.remove(&m);
-            sim.heal(m);
-        }
+        sim.mend();
         sim.run_until(at + 300_000);
         prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
         for (id, job) in sim.jobs.iter().filter(|(_, j)| j.accepted) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -14,29 +14,102 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-pub const NODES: [&str; 3] = ["n0", "n1", "n2"];
-const REPORT_MS: u64 = 2000;
-const LEASE_MS: u64 = 16_000;
-const CANCEL_MS: u64 = 41_000;
-const BOOT_MS: u64 = 5000;
-
-pub fn settings(node: usize) -> Settings {
-    let mut text = format!("node = \"{}\"\napi_addr = \"127.0.0.1:1\"\npeer_bind = \"127.0.0.1:2\"\n", NODES[node]);
-    for other in NODES.iter().filter(|n| **n != NODES[node]) {
-        text += &format!("[[seeds]]\nnode = \"{other}\"\naddress = \"127.0.0.1:3\"\n");
-    }
-    text += "[external]\ncloud = \"127.0.0.1:4\"\nstate = \"127.0.0.1:5\"\n[deployment]\nsize = 3\n\
+/// A deployment's size and times.
+#[derive(Debug, Clone)]
+pub struct Site {
+    pub nodes: usize,
+    pub zones: Vec<&'static str>,
+    pub cores: f64,
+    pub memory_gb: f64,
+    pub report_ms: u64,
+    pub lease_ms: u64,
+    pub cancel_ms: u64,
+    pub boot_ms: u64,
+    /// Machines of each zone and kind.
+    pub machines: u32,
+    pub value_kb: f64,
+    pub page: usize,
+    pub snapshot_every: u64,
+}
+
+impl Site {
+    pub fn small() -> Site {
+        Site {
+            nodes: 3,
+            zones: vec!["a", "b"],
+            cores: 4.0,
+            memory_gb: 16.0,
+            report_ms: 2000,
+            lease_ms: 16_000,
+            cancel_ms: 41_000,
+            boot_ms: 5000,
+            machines: 8,
+            value_kb: 1.0,
+            page: 5,
+            snapshot_every: 10,
+        }
+    }
+
+    /// Some 1,000 machines of 32 CPUs in four zones, five controllers.
+    pub fn grown() -> Site {
+        Site {
+            nodes: 5,
+            zones: vec!["a", "b", "c", "d"],
+            cores: 32.0,
+            memory_gb: 128.0,
+            report_ms: 4000,
+            lease_ms: 22_000,
+            cancel_ms: 42_000,
+            boot_ms: 25_000,
+            machines: 125,
+            value_kb: 8.0,
+            page: 1000,
+            snapshot_every: 200,
+        }
+    }
+
+    /// Many small machines, seven controllers.
+    pub fn many_small() -> Site {
+        Site {
+            nodes: 7,
+            machines: 60,
+            boot_ms: 15_000,
+            value_kb: 16.0,
+            page: 1000,
+            snapshot_every: 200,
+            ..Site::small()
+        }
+    }
+}
+
+pub fn name(node: usize) -> String {
+    format!("n{node}")
+}
+
+pub fn settings(site: &Site, node: usize) -> Settings {
+    let mut text = format!("node = \"{}\"\napi_addr = \"127.0.0.1:1\"\npeer_bind = \"127.0.0.1:2\"\n", name(node));
+    for other in (0..site.nodes).filter(|n| *n != node) {
+        text += &format!("[[seeds]]\nnode = \"{}\"\naddress = \"127.0.0.1:3\"\n", name(other));
+    }
+    let secs = |ms: u64| ms as f64 / 1000.0;
+    text += &format!(
+        "[external]\ncloud = \"127.0.0.1:4\"\nstate = \"127.0.0.1:5\"\n[deployment]\nsize = {}\n\
         [[deployment.teams]]\nname = \"crew\"\n[[deployment.teams]]\nname = \"small\"\ncpus_max = 4.0\n\
-        [deployment.workers]\nreport_s = 2.0\nlease_s = 16.0\ncancel_s = 41.0\n\
-        [deployment.state]\nrps = 200.0\nwrite_rps = 20.0\nvalue_kb = 1.0\ntxn_ops = 16\n\
-        [deployment.cloud]\nrps = 6.0\nlist_lag_s = 2.0\n[deployment.resources]\nmemory_mb = 56.0\n";
+        [deployment.workers]\nreport_s = {:?}\nlease_s = {:?}\ncancel_s = {:?}\n\
+        [deployment.state]\nrps = 200.0\nwrite_rps = 20.0\nvalue_kb = {:?}\ntxn_ops = 16\n\
+        [deployment.cloud]\nrps = 6.0\nlist_lag_s = 2.0\n[deployment.resources]\nmemory_mb = 56.0\nfd_limit = 1500\n",
+        site.nodes,
+        secs(site.report_ms),
+        secs(site.lease_ms),
+        secs(site.cancel_ms),
+        site.value_kb
+    );
     let mut settings = Settings::parse(&text).expect("the sample is valid");
-    settings.tuning.snapshot_every = 10;
+    settings.tuning.snapshot_every = site.snapshot_every;
     settings
 }
 
 /// The state service's stand-in.
-#[derive(Default)]
 pub struct State {
     pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
     leases: BTreeMap<u64, (u64, u64)>,
@@ -47,6 +120,24 @@
     pub mute: u32,
     /// Requests after which only 503 comes: cuts a snapshot off at a step.
     pub writes_left: Option<u32>,
+    page: usize,
+    value_bytes: usize,
+}
+
+impl Default for State {
+    fn default() -> State {
+        State {
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            ledger: 0,
+            down: false,
+            deaf: BTreeSet::new(),
+            mute: 0,
+            writes_left: None,
+            page: 5,
+            value_bytes: 1024,
+        }
+    }
 }
 
 impl State {
@@ -79,8 +170,8 @@
                     .filter(|(k, _)| k.starts_with(prefix.as_str()) && after.as_ref().is_none_or(|a| *k > a))
                     .map(|(k, v)| json!({"K": k, "V": v.0, "Stamp": v.1}))
                     .collect();
-                let more = found.len() > 5;
-                (200, json!({"Pairs": found[..found.len().min(5)], "More": more, "Ledger": self.ledger}))
+                let more = found.len() > self.page;
+                (200, json!({"Pairs": found[..found.len().min(self.page)], "More": more, "Ledger": self.ledger}))
             }
             StateCall::Grant(ttl) => {
                 self.ledger += 1;
@@ -118,7 +209,7 @@
                     if lease.is_some_and(|l| !self.leases.contains_key(&l)) {
                         return (400, json!({"error": "no such lease"}));
                     }
-                    assert!(value.to_string().len() <= 1024, "a value is larger than the settings allow");
+                    assert!(value.to_string().len() <= self.value_bytes, "a value is larger than the settings allow");
                     self.keys.insert(key.clone(), (value.clone(), self.ledger, *lease));
                 }
                 Change::Delete { key } => {
@@ -176,12 +267,15 @@
     LeaseCheck(u64),
     Poll(String),
     User(String, UserCall),
+    Start(usize),
+    Heal(u64),
 }
 
 #[derive(Debug, Clone)]
 enum Asker {
     Worker { machine: u64, number: u64, session: u64, sent: u64 },
     User { job: String, call: UserCall, asked: u64 },
+    Probe { node: usize },
 }
 
 /// A job as its user knows it.
@@ -195,6 +289,18 @@
     withdrawing: bool,
     pub withdraw_status: u16,
     pub submit_status: u16,
+    /// When a question about it was answered last.
+    answered_at: u64,
+    /// When the first of its tasks started.
+    pub begun: Option<u64>,
+    pub accepted_at: u64,
+}
+
+impl UserJob {
+    /// How many tasks it has.
+    pub fn pieces(&self) -> u64 {
+        self.spec["Pieces"].as_u64().expect("a count")
+    }
 }
 
 pub struct Sim {
@@ -216,25 +322,44 @@
     pub starts: BTreeMap<String, Vec<u64>>,
     finished: BTreeSet<String>,
     pub hold_commands: BTreeSet<u64>,
+    /// Machines whose reports arrive while answers and commands do not reach them.
+    pub deaf: BTreeSet<u64>,
+    /// Nodes without state service and other nodes, but with their workers and users.
+    pub cornered: BTreeSet<usize>,
+    /// Of a hundred reports so many come once more, up to so many milliseconds late.
+    pub copies: (u64, u64),
+    /// When the last trouble was over, if it is.
+    pub mended_at: Option<u64>,
+    /// Slowest answer to a user since this was set to 0.
+    pub slowest: u64,
+    /// What the nodes answered to the last health check.
+    pub healthy: BTreeMap<usize, bool>,
+    /// Where tasks of a job run or ran: machine and attempt.
+    active: HashMap<String, Vec<(u64, u64)>>,
+    checked_at: u64,
+    pub site: Site,
     pub broken: Vec<String>,
     random: u64,
 }
 
 impl Sim {
     pub fn new(seed: u64) -> Sim {
+        Sim::at(Site::small(), seed)
+    }
+
+    pub fn at(site: Site, seed: u64) -> Sim {
         let mut sim = Sim {
             now: 1000,
             seq: 0,
             queue: BTreeMap::new(),
-            nodes: vec![None, None, None],
-            epochs: vec![0; 3],
-            state: State::default(),
+            nodes: (0..site.nodes).map(|_| None).collect(),
+            epochs: vec![0; site.nodes],
+            state: State { page: site.page, value_bytes: (site.value_kb * 1024.0) as usize, ..State::default() },
             workers: BTreeMap::new(),
             machines: 0,
             hires: HashMap::new(),
-            capacity: [("a", 8), ("b", 8)]
-                .iter()
-                .flat_map(|(z, n)| [((z.to_string(), false), *n), ((z.to_string(), true), *n)])
+            capacity: (site.zones.iter())
+                .flat_map(|z| [((z.to_string(), false), site.machines), ((z.to_string(), true), site.machines)])
                 .collect(),
             jobs: BTreeMap::new(),
             askers: HashMap::new(),
@@ -244,15 +369,28 @@
             starts: BTreeMap::new(),
             finished: BTreeSet::new(),
             hold_commands: BTreeSet::new(),
+            deaf: BTreeSet::new(),
+            cornered: BTreeSet::new(),
+            copies: (0, 0),
+            mended_at: None,
+            slowest: 0,
+            healthy: BTreeMap::new(),
+            active: HashMap::new(),
+            checked_at: 0,
+            site,
             broken: Vec::new(),
             random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
         };
-        for node in 0..3 {
+        for node in 0..sim.site.nodes {
             sim.start(node);
         }
         sim
     }
 
+    fn count(&self) -> u64 {
+        self.site.nodes as u64
+    }
+
     fn chance(&mut self, below: u64) -> u64 {
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
@@ -273,28 +411,84 @@
         }
         self.epochs[node] += 1;
         let incarnation = self.epochs[node] * 10 + node as u64 + self.chance(1000) * 100;
-        self.nodes[node] = Some(Controller::new(settings(node), incarnation));
+        self.nodes[node] = Some(Controller::new(settings(&self.site, node), incarnation));
         let epoch = self.epochs[node];
         self.after(1 + node as u64 * 7, Event::Tick(node, epoch));
-        for other in (0..3).filter(|o| *o != node) {
-            if self.nodes[other].is_some() {
-                self.input(node, Input::Link(NODES[other].into(), true), 30);
-                self.input(other, Input::Link(NODES[node].into(), true), 30);
+        self.link(node, true, 30);
+    }
+
+    /// Tells a node and all others that can reach it that their links are up or down.
+    fn link(&mut self, node: usize, up: bool, delay: u64) {
+        for other in (0..self.site.nodes).filter(|o| *o != node) {
+            let apart = self.cornered.contains(&node) || self.cornered.contains(&other);
+            if self.nodes[other].is_some() && !(up && apart) {
+                self.input(node, Input::Link(name(other), up), delay);
+                self.input(other, Input::Link(name(node), up), delay);
             }
         }
     }
 
+    /// Cuts a node off from the state service and the other nodes; its workers and users reach it.
+    pub fn corner(&mut self, node: usize) {
+        if self.cornered.insert(node) {
+            self.state.deaf.insert(node);
+            self.link(node, false, 5);
+        }
+    }
+
+    pub fn uncorner(&mut self) {
+        for node in std::mem::take(&mut self.cornered) {
+            self.state.deaf.remove(&node);
+            self.link(node, true, 30);
+        }
+    }
+
+    /// A process that ends and is back after a moment.
+    pub fn bounce(&mut self, node: usize, after: u64) {
+        self.crash(node);
+        self.after(after, Event::Start(node));
+    }
+
+    /// A machine that is out of reach for a moment.
+    pub fn blink(&mut self, machine: u64, after: u64) {
+        self.cut(machine);
+        self.after(after, Event::Heal(machine));
+    }
+
+    /// All troubles are over, whatever they were.
+    pub fn mend(&mut self) {
+        self.state.down = false;
+        self.state.writes_left = None;
+        self.state.deaf.clear();
+        self.copies = (0, 0);
+        self.uncorner();
+        (0..self.site.nodes).for_each(|n| self.start(n));
+        let machines: Vec<u64> = self.workers.keys().copied().collect();
+        for m in machines {
+            self.heal(m);
+        }
+        self.mended_at = Some(self.now);
+    }
+
+    /// A health check; the answer is in `healthy` a few milliseconds later.
+    pub fn probe(&mut self, node: usize) {
+        self.requests += 1;
+        let id = self.requests * self.count() + node as u64;
+        self.askers.insert(id, Asker::Probe { node });
+        self.input(node, Input::Up(Origin::Http(id)), 1);
+    }
+
     pub fn crash(&mut self, node: usize) {
         if self.nodes[node].take().is_none() {
             return;
         }
-        for other in (0..3).filter(|o| *o != node) {
-            self.input(other, Input::Link(NODES[node].into(), false), 5);
+        for other in (0..self.site.nodes).filter(|o| *o != node) {
+            self.input(other, Input::Link(name(node), false), 5);
         }
         // Whoever waits for it sees the connection break.
         let waiting: Vec<(u64, Asker)> = self.askers.iter().map(|(id, a)| (*id, a.clone())).collect();
         for (id, asker) in waiting {
-            if id % 3 == node as u64 {
+            if id % self.count() == node as u64 {
                 self.askers.remove(&id);
                 self.failed(asker);
             }
@@ -303,7 +497,7 @@
 
     pub fn leader(&self) -> Option<usize> {
         let token = |n: &usize| self.nodes[*n].as_ref().and_then(|c| c.reign()).map(|r| r.token());
-        (0..3).filter(|n| token(n).is_some()).max_by_key(token)
+        (0..self.site.nodes).filter(|n| token(n).is_some()).max_by_key(token)
     }
 
     fn input(&mut self, node: usize, input: Input, delay: u64) {
@@ -326,7 +520,10 @@
                     }
                 }
                 Effect::Answer(Origin::Peer(link, id), answer) => {
-                    let (to, its_epoch) = ((link % 3) as usize, link / 3);
+                    let (to, its_epoch) = ((link % self.count()) as usize, link / self.count());
+                    if self.cornered.contains(&node) || self.cornered.contains(&to) {
+                        continue;
+                    }
                     self.after(delay, Event::Input(to, its_epoch, Box::new(Input::Forwarded(id, answer))));
                 }
                 Effect::State(slot, id, call) => self.after(delay, Event::State(node, epoch, slot, id, Box::new(call))),
@@ -338,9 +535,19 @@
                     self.after(delay, Event::Command { node, epoch, token, machine, id, body: Box::new(body) });
                     self.after(2500, Event::CommandTimeout { node, epoch, token, machine, id });
                 }
+                Effect::Announce(token) => {
+                    for to in (0..self.site.nodes).filter(|n| *n != node) {
+                        if self.nodes[to].is_some() && !self.cornered.contains(&node) && !self.cornered.contains(&to) {
+                            self.input(to, Input::Leads(name(node), token), delay);
+                        }
+                    }
+                }
                 Effect::Forward(to, id, call) => {
-                    let target = NODES.iter().position(|n| *n == to).expect("a known node");
-                    let link = epoch * 3 + node as u64;
+                    let target = (0..self.site.nodes).find(|n| name(*n) == to).expect("a known node");
+                    let link = epoch * self.count() + node as u64;
+                    if self.cornered.contains(&node) || self.cornered.contains(&target) {
+                        continue;
+                    }
                     self.input(target, Input::User(Origin::Peer(link, id), call), delay);
                 }
             }
@@ -366,6 +573,9 @@
             withdrawing: false,
             withdraw_status: 0,
             submit_status: 0,
+            answered_at: 0,
+            begun: None,
+            accepted_at: 0,
         };
         self.jobs.insert(id.to_string(), job);
         self.after(0, Event::User(id.to_string(), UserCall::Submit(spec.to_string().into_bytes())));
@@ -386,13 +596,18 @@
     }
 
     fn ask(&mut self, job: String, call: UserCall) {
-        let up: Vec<usize> = (0..3).filter(|n| self.nodes[*n].is_some()).collect();
+        let up: Vec<usize> = (0..self.site.nodes).filter(|n| self.nodes[*n].is_some()).collect();
         if up.is_empty() {
             return self.after(1000, Event::User(job, call));
         }
         let node = up[self.chance(up.len() as u64) as usize];
+        self.ask_at(node, job, call);
+    }
+
+    /// Asks this node.
+    pub fn ask_at(&mut self, node: usize, job: String, call: UserCall) {
         self.requests += 1;
-        let id = self.requests * 3 + node as u64;
+        let id = self.requests * self.count() + node as u64;
         let asked = self.now;
         self.askers.insert(id, Asker::User { job, call: call.clone(), asked });
         self.input(node, Input::User(Origin::Http(id), call), 2);
@@ -403,6 +618,9 @@
             Asker::User { call: UserCall::Get(_), .. } => {}
             Asker::User { job, call, .. } => self.after(1000, Event::User(job, call)),
             Asker::Worker { machine, number, .. } => self.worker_failed(machine, number),
+            Asker::Probe { node } => {
+                self.healthy.insert(node, false);
+            }
         }
     }
 
@@ -413,13 +631,20 @@
                 self.after(delay, Event::WorkerAnswer { machine, number, session, sent, answer });
             }
             Asker::User { job, call, asked } => self.user_told(&job, call, asked, &answer),
+            Asker::Probe { node } => {
+                self.healthy.insert(node, answer.status == 200);
+            }
         }
     }
 
     fn user_told(&mut self, id: &str, call: UserCall, asked: u64, answer: &Answer) {
         let now = self.now;
+        self.slowest = self.slowest.max(now - asked);
         let finished = self.all_finished(id);
         let Some(job) = self.jobs.get_mut(id) else { return };
+        if matches!(call, UserCall::Get(_)) && matches!(answer.status, 200 | 404) {
+            job.answered_at = now;
+        }
         match call {
             UserCall::Submit(_) => job.submit_status = answer.status,
             UserCall::Withdraw(_) => job.withdraw_status = answer.status,
@@ -443,7 +668,9 @@
             job.told = answer.status.to_string();
             return;
         }
-        job.accepted = true;
+        if !std::mem::replace(&mut job.accepted, true) {
+            job.accepted_at = now;
+        }
         let body: Value = serde_json::from_str(&answer.body).expect("an answer is JSON");
         let status = body["Status"].as_str().expect("a status").to_string();
         // An answer that was under way when the user was told the final state is no step back.
@@ -480,8 +707,9 @@
         match call {
             CloudCall::Flavors => (
                 200,
-                json!({"Builds": [{"Label": "small", "Cores": 4, "MemoryGb": 16.0, "LocalGb": 70.0, "FetchGbPerS": 1.0,
-                    "Hourly": 0.26, "MarketPrice": 0.1, "BootS": 5, "Yards": ["a", "b"]}]}),
+                json!({"Builds": [{"Label": "small", "Cores": self.site.cores, "MemoryGb": self.site.memory_gb,
+                    "LocalGb": 70.0, "FetchGbPerS": 1.0, "Hourly": 0.26, "MarketPrice": 0.1,
+                    "BootS": self.site.boot_ms as f64 / 1000.0, "Yards": self.site.zones}]}),
             ),
             CloudCall::Rent(request) => {
                 if let Some(ids) = self.hires.get(&request.request) {
@@ -520,7 +748,7 @@
                             up: false,
                         },
                     );
-                    self.after(BOOT_MS, Event::Boot(id));
+                    self.after(self.site.boot_ms, Event::Boot(id));
                 }
                 self.hires.insert(request.request.clone(), ids.clone());
                 (200, json!({"Hosts": ids.iter().map(|i| MachineId(*i).to_string()).collect::<Vec<_>>()}))
@@ -531,6 +759,7 @@
                         *self.capacity.entry((w.zone, w.spot)).or_insert(0) += 1;
                     }
                     self.held.remove(&id.0);
+                    self.deaf.remove(&id.0);
                 }
                 (200, json!({}))
             }
@@ -563,8 +792,10 @@
         }
     }
 
-    /// Ends a cut: what was held back is delivered, in order.
+    /// Ends a cut or deafness: what was held back is delivered, in order.
     pub fn heal(&mut self, machine: u64) {
+        self.deaf.remove(&machine);
+        self.hold_commands.remove(&machine);
         if let Some(w) = self.workers.get_mut(&machine) {
             w.cut = false;
         }
@@ -607,11 +838,12 @@
     }
 
     fn worker_failed(&mut self, machine: u64, number: u64) {
+        let nodes = self.site.nodes;
         if let Some(w) = self.workers.get_mut(&machine)
             && w.waiting == Some(number)
         {
             w.waiting = None;
-            w.node = (w.node + 1) % 3;
+            w.node = (w.node + 1) % nodes;
             self.after(1000, Event::WorkerTick(machine));
         }
     }
@@ -635,10 +867,16 @@
         let session = w.session;
         let report = Box::new(self.make_report(machine));
         self.requests += 1;
-        let number = self.requests * 3 + node as u64;
+        let number = self.requests * self.count() + node as u64;
         if let Some(w) = self.workers.get_mut(&machine) {
             w.waiting = Some(number);
         }
+        if self.copies.0 > 0 && self.chance(100) < self.copies.0 {
+            self.requests += 1;
+            let (to, late) = (self.chance(self.count()), 500 + self.chance(self.copies.1.max(1)));
+            let copy = self.requests * self.count() + to;
+            self.after(late, Event::Report(machine, copy, report.clone()));
+        }
         self.askers.insert(number, Asker::Worker { machine, number, session, sent: now });
         self.after(2, Event::Report(machine, number, report));
         self.after(4000, Event::WorkerTick(machine));
@@ -648,7 +886,7 @@
     fn check_lease(&mut self, machine: u64) {
         let now = self.now;
         let Some(w) = self.workers.get_mut(&machine) else { return };
-        if now >= w.renewed + LEASE_MS {
+        if now >= w.renewed + self.site.lease_ms {
             w.tasks.clear();
             w.session += 1;
             w.seq = 0;
@@ -656,11 +894,12 @@
             w.waiting = None;
             self.report_soon(machine);
         }
-        let left = self.workers.get(&machine).map_or(0, |w| w.renewed + LEASE_MS - now);
+        let left = self.workers.get(&machine).map_or(0, |w| w.renewed + self.site.lease_ms - now);
         self.after(left, Event::LeaseCheck(machine));
     }
 
     fn execute(&mut self, machine: u64, orders: &[Order]) {
+        let room = self.site.cores;
         for order in orders {
             let w = self.workers.get_mut(&machine).expect("a worker");
             match order {
@@ -677,7 +916,7 @@
                     let used: f64 = w.tasks.values().filter(|t| t.state != TaskState::Exited).map(cores).sum();
                     let refusal = if w.tasks.values().any(|t| t.task == *task) {
                         Some("in_use")
-                    } else if used + need > 4.0 {
+                    } else if used + need > room {
                         Some("full")
                     } else {
                         None
@@ -711,6 +950,16 @@
         }
     }
 
+    /// Forgets tasks of a job that run no more.
+    fn tidy(&mut self, id: &str) {
+        let runs = |w: &Worker, attempt: &u64| {
+            w.tasks.get(attempt).is_some_and(|t| matches!(t.state, TaskState::Running | TaskState::Flushing))
+        };
+        if let Some(active) = self.active.get_mut(id) {
+            active.retain(|(machine, attempt)| self.workers.get(machine).is_some_and(|w| runs(w, attempt)));
+        }
+    }
+
     /// A task holds its image and starts: the rules are checked.
     fn begin(&mut self, machine: u64, session: u64, attempt: u64) {
         let Some(w) = self.workers.get(&machine) else { return };
@@ -721,25 +970,29 @@
         let task = t.task.clone();
         let (zone, spot, sick, was_done) = (w.zone.clone(), w.spot, w.sick, w.done.contains(&task));
         let id = task.split('/').next().unwrap_or_default().to_string();
-        let running = |t: &&OnWorker| matches!(t.state, TaskState::Running | TaskState::Flushing);
         let now = self.now;
         let mut broken = Vec::new();
-        let (mut in_zone, mut team_cores) = (0, 0.0);
-        let job = &self.jobs[&id];
-        for (other, w) in &self.workers {
-            for t in w.tasks.values().filter(running) {
-                if t.task == task && *other != machine {
-                    broken.push(format!("{now} ran_twice: {task} on {machine} and {other}"));
-                }
-                let its = &self.jobs[t.task.split('/').next().unwrap()];
-                if its.spec["Ref"] == job.spec["Ref"] && w.zone == zone {
-                    in_zone += 1;
-                }
-                if its.spec["Crew"] == "small" {
-                    team_cores += its.spec["Cores"].as_f64().unwrap();
-                }
+        let mut in_zone = 0;
+        self.tidy(&id);
+        for (other, attempt) in self.active.get(&id).into_iter().flatten() {
+            let w = &self.workers[other];
+            if w.tasks[attempt].task == task && *other != machine {
+                broken.push(format!("{now} ran_twice: {task} on {machine} and {other}"));
             }
+            in_zone += u64::from(w.zone == zone);
         }
+        let mut team_cores = 0.0;
+        if self.jobs[&id].spec["Crew"] == "small" {
+            let teams: Vec<String> =
+                self.jobs.iter().filter(|(_, j)| j.spec["Crew"] == "small").map(|(id, _)| id.clone()).collect();
+            for id in teams {
+                self.tidy(&id);
+                let running = self.active.get(&id).map_or(0, Vec::len);
+                team_cores += running as f64 * self.jobs[&id].spec["Cores"].as_f64().unwrap();
+            }
+        }
+        let job = self.jobs.get_mut(&id).expect("it is known");
+        job.begun.get_or_insert(now);
         let pieces = job.spec["Pieces"].as_u64().unwrap();
         if job.spec["Spread"] == true && in_zone + 1 > pieces.div_ceil(2) {
             broken.push(format!("{now} wrong_place: {task} is one too many in zone {zone}"));
@@ -754,6 +1007,7 @@
         let run = (job.spec["RuntimeS"].as_f64().unwrap_or(0.0) * 1000.0) as u64;
         let service = job.spec["Shape"] == "standing";
         self.broken.extend(broken);
+        self.active.entry(id).or_default().push((machine, attempt));
         self.starts.entry(task).or_default().push(machine);
         if let Some(w) = self.workers.get_mut(&machine) {
             w.images.insert(image);
@@ -786,10 +1040,18 @@
 
     fn check_cancelled(&mut self) {
         let now = self.now;
+        if now < self.checked_at + 100 {
+            return;
+        }
+        self.checked_at = now;
+        if self.jobs.values().all(|j| j.cancelled_at.is_none()) {
+            return;
+        }
+        let cancel_ms = self.site.cancel_ms;
         for w in self.workers.values() {
             for t in w.tasks.values().filter(|t| matches!(t.state, TaskState::Running | TaskState::Flushing)) {
                 let job = &self.jobs[t.task.split('/').next().unwrap()];
-                if job.cancelled_at.is_some_and(|at| now > at + CANCEL_MS) {
+                if job.cancelled_at.is_some_and(|at| now > at + cancel_ms) {
                     self.broken.push(format!("{now} ran_cancelled: {}", t.task));
                 }
             }
@@ -827,7 +1089,7 @@
             }
             Event::Command { node, epoch, token, machine, id, body } => {
                 let Some(w) = self.workers.get_mut(&machine) else { return };
-                if w.cut || self.hold_commands.contains(&machine) {
+                if w.cut || self.hold_commands.contains(&machine) || self.deaf.contains(&machine) {
                     let event = Event::Command { node, epoch, token, machine, id, body };
                     return self.held.entry(machine).or_default().push(event);
                 }
@@ -860,7 +1122,7 @@
                 if self.workers.get(&machine).is_some_and(|w| w.cut) {
                     return self.held.entry(machine).or_default().push(Event::Report(machine, number, report));
                 }
-                let node = (number % 3) as usize;
+                let node = (number % self.count()) as usize;
                 if self.nodes[node].is_none() {
                     self.askers.remove(&number);
                     return self.worker_failed(machine, number);
@@ -879,26 +1141,27 @@
             }
             Event::WorkerAnswer { machine, number, session, sent, answer } => {
                 let Some(w) = self.workers.get_mut(&machine) else { return };
-                if w.waiting != Some(number) || w.cut {
+                if w.waiting != Some(number) || w.cut || self.deaf.contains(&machine) {
                     return;
                 }
+                let nodes = self.site.nodes;
                 w.waiting = None;
                 if answer.status == 421 {
                     let body: Value = serde_json::from_str(&answer.body).unwrap_or_default();
-                    let named = body["Steward"].as_str().and_then(|s| NODES.iter().position(|n| *n == s));
+                    let named = body["Steward"].as_str().and_then(|s| (0..nodes).find(|n| name(*n) == s));
                     let same = named.is_none() || named == Some(w.node);
-                    w.node = named.filter(|_| !same).unwrap_or((w.node + 1) % 3);
+                    w.node = named.filter(|_| !same).unwrap_or((w.node + 1) % nodes);
                     return self.after(if same { 1000 } else { 500 }, Event::WorkerTick(machine));
                 }
                 if answer.status != 200 {
-                    w.node = (w.node + 1) % 3;
+                    w.node = (w.node + 1) % nodes;
                     return self.after(1000, Event::WorkerTick(machine));
                 }
-                let wait = REPORT_MS - 300 + self.chance(600);
+                let wait = self.site.report_ms - 300 + self.chance(600);
                 self.after(wait, Event::WorkerTick(machine));
                 let answer: ReportAnswer = serde_json::from_str(&answer.body).expect("an answer to a report");
                 let w = self.workers.get_mut(&machine).expect("a worker");
-                if session != w.session || answer.token < w.token || self.now >= w.renewed + LEASE_MS {
+                if session != w.session || answer.token < w.token || self.now >= w.renewed + self.site.lease_ms {
                     return;
                 }
                 let news = answer.token > w.token || !answer.orders.is_empty();
@@ -926,7 +1189,7 @@
             }
             Event::LeaseCheck(machine) => self.check_lease(machine),
             Event::Boot(machine) => {
-                self.after(LEASE_MS, Event::LeaseCheck(machine));
+                self.after(self.site.lease_ms, Event::LeaseCheck(machine));
                 let now = self.now;
                 if let Some(w) = self.workers.get_mut(&machine) {
                     w.up = true;
@@ -936,11 +1199,19 @@
             }
             Event::Poll(id) => {
                 self.after(1000, Event::Poll(id.clone()));
-                if self.jobs[&id].accepted {
+                let job = &self.jobs[&id];
+                // The rule of the operators: no job may go without any answer for 75 s once all is mended.
+                let since = self.mended_at.map(|at| at.max(job.answered_at).max(job.accepted_at));
+                if job.accepted && since.is_some_and(|at| self.now > at + 75_000) {
+                    self.broken.push(format!("{} forgotten: no question about {id} is answered", self.now));
+                }
+                if job.accepted {
                     self.ask(id.clone(), UserCall::Get(id));
                 }
             }
             Event::User(id, call) => self.ask(id, call),
+            Event::Start(node) => self.start(node),
+            Event::Heal(machine) => self.heal(machine),
         }
     }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -6,12 +6,13 @@
 
 mod support;
 
+use caperstile::peers::UserCall;
 use serde_json::{Value, json};
 use std::collections::HashMap;
-use support::{NODES, Sim};
+use support::Sim;
 
 fn node(name: &str) -> usize {
-    NODES.iter().position(|n| *n == name).unwrap_or_else(|| panic!("no node {name}"))
+    name.strip_prefix('n').and_then(|n| n.parse().ok()).unwrap_or_else(|| panic!("no node {name}"))
 }
 
 fn play(name: &str) {
@@ -77,9 +78,44 @@
             }
             ("heal", [m]) => {
                 let m = machine(&sim, &mut names, m);
-                sim.hold_commands.remove(&m);
                 sim.heal(m);
             }
+            ("deaf", [m]) => {
+                let m = machine(&sim, &mut names, m);
+                sim.deaf.insert(m);
+            }
+            ("copies", [percent, seconds]) => {
+                let late: u64 = seconds.parse().expect("seconds");
+                sim.copies = (percent.parse().expect("a share"), late * 1000);
+            }
+            ("corner", ["leader"]) => {
+                let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
+                sim.corner(leader);
+                names.insert("crashed".into(), leader as u64);
+                names.insert("cornered".into(), leader as u64);
+            }
+            ("corner", ["follower"]) => {
+                let follower = (0..3).find(|n| Some(*n) != sim.leader()).expect("three nodes");
+                sim.corner(follower);
+                names.insert("cornered".into(), follower as u64);
+            }
+            ("uncorner", []) => sim.uncorner(),
+            ("bounce", ["leader", ms]) => {
+                let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
+                sim.bounce(leader, ms.parse().expect("milliseconds"));
+            }
+            ("bounce", [n, ms]) if n.starts_with('n') => sim.bounce(node(n), ms.parse().expect("milliseconds")),
+            ("bounce", ["all", ms]) => (0..3).for_each(|n| sim.bounce(n, ms.parse().expect("milliseconds"))),
+            ("blink", [m, ms]) => {
+                let m = machine(&sim, &mut names, m);
+                sim.blink(m, ms.parse().expect("milliseconds"));
+            }
+            ("probe", ["cornered"]) => sim.probe(names["cornered"] as usize),
+            ("ask", ["cornered", id]) => {
+                sim.slowest = 0;
+                sim.ask_at(names["cornered"] as usize, id.to_string(), UserCall::Get(id.to_string()));
+            }
+            ("mend", []) => sim.mend(),
             ("hold-commands", [m]) => {
                 let m = machine(&sim, &mut names, m);
                 sim.hold_commands.insert(m);
@@ -133,6 +169,12 @@
         ["gone", m] => assert!(!sim.workers.contains_key(&names[*m]), "{at}: {m} is still rented"),
         ["kept", m] => assert!(sim.workers.contains_key(&names[*m]), "{at}: {m} was returned"),
         ["moved", task] => assert_ne!(sim.machine_of(task), names.get("it").copied(), "{at}"),
+        ["answers", "within", ms] => {
+            assert!(sim.slowest <= ms.parse().expect("milliseconds"), "{at}: an answer took {} ms", sim.slowest);
+        }
+        ["healthy", "cornered", yes] => {
+            assert_eq!(sim.healthy[&(names["cornered"] as usize)], *yes == "yes", "{at}");
+        }
         ["keys", prefix, "below", n] => {
             let keys = sim.state.keys.keys().filter(|k| k.starts_with(*prefix)).count();
             assert!(keys < n.parse().expect("a count"), "{at}: {keys} keys");
@@ -159,14 +201,21 @@
 }
 
 traces! {
+    back_in_a_moment,
     cancel_with_a_machine_unreachable,
     crash_between_commit_and_answer,
+    deaf_machine,
+    deaf_machine_and_a_new_leader,
+    deaf_machine_gets_nothing,
     delayed_run_after_a_kill,
     deposed_leader_wakes,
     done_before_and_after_failover,
     election_with_a_lost_answer,
     failing_machine_and_failing_job,
     finish_not_yet_durable,
+    follower_in_its_corner,
+    late_copies,
+    leader_in_its_corner,
     outage_then_all_nodes_lost,
     quiet_day,
     room_for_a_service,
