--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -27,6 +27,9 @@
 /// To this rank, for its first task: before all but services, which it must not push aside.
 const PROMOTED: u8 = 1;
 
+/// Room is kept for so many times the services that are likely to come within a boot: they come in
+/// bursts, and a lost zone or dying machines need it too.
+const ROOM_AHEAD: f64 = 3.0;
 /// So long nothing is rented in a zone that most machines have fallen silent in: what is rented there
 /// most likely cannot report either.
 const AVOID_ZONE: Span = Span(40_000);
@@ -736,7 +739,7 @@
         sizes.sort_unstable();
         let limit = SLOT_LIMIT.max(3 * sizes[sizes.len() / 2]);
         let rate = sizes.iter().map(|n| f64::from((*n).min(limit))).sum::<f64>() / WINDOW.as_secs();
-        Some((job, ((rate * (boot_s + 10.0) * 1.5).ceil() as u64).max(3)))
+        Some((job, ((rate * (boot_s + 10.0) * ROOM_AHEAD).ceil() as u64).max(3)))
     }
 
     /// Ordinary machines for services that are likely to come before a machine rented for them
