--- a/src/reign.rs
+++ b/src/reign.rs
@@ -17,7 +17,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Direct commands are given up after this time; they may still be executed later.
-const COMMAND_TIMEOUT: Span = Span(2500);
+pub const COMMAND_TIMEOUT: Span = Span(1500);
 /// How long a commit may take before its users are told to come back.
 const COMMIT_PATIENCE: Span = Span(1800);
 
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -3,6 +3,7 @@
 use super::Message;
 use crate::controller::{Input, Slot};
 use crate::fleet::CloudCall;
+use crate::reign::COMMAND_TIMEOUT;
 use crate::settings::Settings;
 use crate::store::{Reply, StateCall};
 use crate::units::MachineId;
@@ -20,7 +21,6 @@
 /// Largest answer that is read.
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
 const CLOUD_TIMEOUT: Duration = Duration::from_millis(4900);
-const COMMAND_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// All clients, with pooled connections.
 pub struct Clients {
@@ -119,7 +119,8 @@
     /// Sends commands to a worker.
     pub fn command(&self, token: u64, machine: MachineId, endpoint: &str, id: u64, body: &Commands) {
         let what = (Method::POST, "/commands".into(), Some(json(body)));
-        self.send(&self.workers, endpoint, what, COMMAND_TIMEOUT, move |reply| {
+        let patience = Duration::from_millis(COMMAND_TIMEOUT.0);
+        self.send(&self.workers, endpoint, what, patience, move |reply| {
             Input::Command(token, machine, id, reply)
         });
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -533,7 +533,7 @@
                 Effect::Command { token, machine, id, body, .. } => {
                     let machine = machine.0;
                     self.after(delay, Event::Command { node, epoch, token, machine, id, body: Box::new(body) });
-                    self.after(2500, Event::CommandTimeout { node, epoch, token, machine, id });
+                    self.after(1500, Event::CommandTimeout { node, epoch, token, machine, id });
                 }
                 Effect::Announce(token) => {
                     for to in (0..self.site.nodes).filter(|n| *n != node) {
