Followers without the leader say so after 2.5 s; idle connections end after 20 s

Cause: where connections between controllers are refused, users were refused one by one for six seconds before the load balancer was told; after elections the leader had up to 1,434 of 1,500 sockets, many of them idle.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -107,7 +107,7 @@
 const FORWARD_TIMEOUT: Span = Span(3500);
 const PARKED_LIMIT: usize = 400;
 /// A follower that cannot reach the leader for so long cannot take requests.
-const CUT_OFF: Span = Span(6000);
+const CUT_OFF: Span = Span(2500);
 /// Without an answer of the state service for so long, it is down or out of reach.
 const NO_STATE: Span = Span(1500);
 /// How often a leader tells the other nodes so.
--- a/src/runtime/http.rs
+++ b/src/runtime/http.rs
@@ -15,6 +15,9 @@
 
 /// Largest body that is read.
 const BODY_LIMIT: usize = 64 * 1024;
+/// A connection on which nobody asks for so long is closed: workers report and users poll more often,
+/// and sockets are few after an election.
+const IDLE: Duration = Duration::from_secs(20);
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// What came over HTTP.
@@ -54,7 +57,7 @@
             tokio::spawn(async move {
                 let served = hyper::server::conn::http1::Builder::new()
                     .timer(TokioTimer::new())
-                    .header_read_timeout(Duration::from_secs(75))
+                    .header_read_timeout(IDLE)
                     .max_buf_size(80 * 1024)
                     .serve_connection(TokioIo::new(stream), service)
                     .await;
