Among equals, short tasks first: arrival plus half of the estimate

Cause: jobs of a rank were planned in the order of arrival; in a backlog jobs that miss their aim anyway held up many short ones.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -254,7 +254,7 @@
 pub struct Job {
     /// What was accepted.
     pub record: Rc<JobRecord>,
-    /// Order of arrival.
+    /// Order among jobs of the same rank.
     pub seq: u64,
     /// Its rank, or a better one when nothing of it has begun for long, until something has.
     pub urgency: u8,
@@ -313,7 +313,6 @@
     /// Jobs with tasks that are on no machine, most important first; others may be among them until
     /// `settle_waiting`.
     waiting: BTreeSet<(u8, u64, JobId)>,
-    seq: u64,
 }
 
 /// What became of a durable fact.
@@ -385,10 +384,12 @@
 
     /// Enters a job whose acceptance is not durable yet.
     pub fn enter(&mut self, record: JobRecord, now: Time, ours: bool) {
-        self.seq += 1;
-        self.waiting.insert((record.rank, self.seq, record.id));
+        // Among equals, short tasks go first, but nothing waits for ever: it is as if a job had come
+        // later by half of what its tasks take.
+        let seq = now.0 + record.estimate.0 / 2;
+        self.waiting.insert((record.rank, seq, record.id));
         let job = Job {
-            seq: self.seq,
+            seq,
             urgency: record.rank,
             submitted: now,
             durable: false,
