--- a/src/plan.rs
+++ b/src/plan.rs
@@ -76,7 +76,7 @@
     pub soft: Room,
     /// Room that running tasks are predicted to give back.
     pub releases: Vec<(Time, Room)>,
-    /// Images that it holds or fetches, in order.
+    /// Images that it holds, in order.
     pub images: Vec<Image>,
     /// Tasks that wait for this machine, most important first.
     pub queue: Vec<Entry>,
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -295,7 +295,6 @@
                 }
             }
             let free = m.free();
-            let fetched = m.holds.values().filter(|h| h.occupies()).map(|h| &h.image);
             return Some(Server {
                 id,
                 zone: index_of(&mut self.names.zones, &m.record.zone),
@@ -307,7 +306,7 @@
                 free,
                 soft,
                 releases,
-                images: self.names.images(m.images.iter().chain(fetched)),
+                images: self.names.images(m.images.iter()),
                 ..Server::default()
             });
         }
