--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plan;
 pub mod records;
 pub mod reign;
+mod renting;
 pub mod runtime;
 mod scheduling;
 pub mod settings;
--- /dev/null
+++ b/src/renting.rs
@@ -0,0 +1,333 @@
+//! Where plan and fleet meet: what is rented for what waits, and what is emptied and given back.
+
+use crate::controller::Effect;
+use crate::fleet::{self, Demand, Place};
+use crate::intake::{self, Job};
+use crate::plan::Order;
+use crate::reign::Reign;
+use crate::scheduling::order_of;
+use crate::units::{JobId, MachineId, Room, Span, Time, Wall};
+use crate::workers::{Hold, Machine};
+use log::{debug, info};
+use std::collections::{BTreeMap, HashMap};
+
+/// Tasks that may use spot machines wait so long for one before an ordinary one is rented: it costs
+/// several times as much, and spot machines become free.
+const SPOT_PATIENCE: Span = Span(200_000);
+/// So long nothing is rented in a zone that most machines have fallen silent in: what is rented there
+/// most likely cannot report either.
+const AVOID_ZONE: Span = Span(40_000);
+/// Why a machine is drained whose services were moved to others.
+const CONSOLIDATED: &str = "its services fit elsewhere";
+
+impl Reign {
+    /// What waits too long on the machines that there are, as classes.
+    fn demands(&self, now: Time) -> Vec<Demand> {
+        let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(f64::MAX, f64::min);
+        let boot = Span::secs(if boots == f64::MAX { 30.0 } else { boots });
+        // Apart are those for which ordinary machines are rented too.
+        let no_spot = self.fleet.spot_refused(now);
+        let mut counts: BTreeMap<(Order, JobId, bool), u32> = BTreeMap::new();
+        for server in self.plans.servers().filter(|s| !s.queue.is_empty()) {
+            for (entry, start) in self.plans.starts(server.id, now) {
+                // A machine rented now would be up after `boot`: only what it would start sooner counts.
+                let late = match start {
+                    None => true,
+                    Some(at) if entry.endless => at > now + boot + Span(5000),
+                    Some(at) => {
+                        let goal = self.book.get(entry.job).map_or(Time::NEVER, |j| self.goal(j));
+                        at > now + boot + Span(3000) && at + entry.run > goal
+                    }
+                };
+                if late {
+                    let long =
+                        no_spot && self.book.get(entry.job).is_some_and(|j| self.worth(j, now, start, entry.run, boot));
+                    *counts.entry((entry.order, entry.job, long)).or_insert(0) += 1;
+                }
+            }
+        }
+        // What was not looked at in this round may find room yet.
+        let tried = |j: &&Job| self.untried.is_none_or(|from| order_of(j) < from);
+        for job in self.book.waiting().filter(|j| self.startable(j, now)).filter(tried) {
+            let left = job.pending.len().saturating_sub(self.plans.planned(job.record.id));
+            if left > 0 {
+                let run = self.correction.predict(job.record.estimate);
+                let long = no_spot && self.worth(job, now, None, run, boot);
+                *counts.entry((order_of(job), job.record.id, long)).or_insert(0) += left;
+            }
+        }
+        let headroom = self.headroom(boot);
+        counts
+            .into_iter()
+            .filter_map(|((_, id, long), count)| {
+                let job = self.book.get(id)?;
+                let limit = self.limit_left(job);
+                // An ordinary machine has to be worth its price: one runs several of these tasks in turn.
+                let turns = if long && job.record.spot {
+                    (100_000 / job.record.estimate.0.max(1)).clamp(1, 4) as u32
+                } else {
+                    1
+                };
+                let count = count.div_ceil(turns);
+                Some(Demand {
+                    job: id,
+                    need: job.record.need,
+                    count: count.min(limit),
+                    spot: job.record.spot,
+                    ordinary: long || !job.record.spot,
+                    types: job.record.types.clone(),
+                    zone: job.record.zone.clone(),
+                    zone_cap: job.record.zone_cap(),
+                })
+            })
+            .chain(headroom)
+            .filter(|d| d.count > 0)
+            .collect()
+    }
+
+    /// How many tasks of services are likely to come within a boot, and a job like them.
+    fn expected_services(&self, boot_s: f64) -> Option<(&Job, u64)> {
+        const WINDOW: Span = Span(120_000);
+        const SLOT: Span = Span(10_000);
+        // Jobs that come all at once, as at a start, say little of what comes next: a slot counts for no
+        // more than this, or than three ordinary ones.
+        const SLOT_LIMIT: u32 = 6;
+        let mut slots: BTreeMap<u64, u32> = BTreeMap::new();
+        let mut typical: Option<&Job> = None;
+        let now = self.scheduled;
+        for job in self.book.live().filter(|j| j.record.service && j.record.rank == 0 && j.record.zone.is_none()) {
+            let age = now.since(job.submitted);
+            if age < WINDOW {
+                *slots.entry(age.0 / SLOT.0).or_insert(0) += job.record.tasks;
+            }
+            if typical.is_none_or(|t| t.record.need.cpus < job.record.need.cpus) {
+                typical = Some(job);
+            }
+        }
+        let job = typical?;
+        let mut sizes: Vec<u32> = (0..WINDOW.0 / SLOT.0).map(|n| slots.get(&n).copied().unwrap_or(0)).collect();
+        sizes.sort_unstable();
+        let limit = SLOT_LIMIT.max(3 * sizes[sizes.len() / 2]);
+        let rate = sizes.iter().map(|n| f64::from((*n).min(limit))).sum::<f64>() / WINDOW.as_secs();
+        Some((job, ((rate * (boot_s + 10.0) * self.settings.tuning.room_ahead).ceil() as u64).max(3)))
+    }
+
+    /// Ordinary machines for services that are likely to come before a machine rented for them
+    /// would be up: without room, even that of lower tasks, they would wait for the boot.
+    fn headroom(&self, boot: Span) -> Option<Demand> {
+        let (job, wanted) = self.expected_services(boot.as_secs())?;
+        let profile = self.parts().profile_of(job);
+        let mut there = 0;
+        for server in self.plans.servers() {
+            if profile.predict(server).is_some() {
+                let mut room = server.free;
+                room.add(&server.soft);
+                there += job.record.need.times_in(&room);
+            }
+        }
+        Some(Demand {
+            job: job.record.id,
+            need: job.record.need,
+            count: wanted.saturating_sub(there) as u32,
+            spot: false,
+            ordinary: true,
+            types: None,
+            zone: None,
+            zone_cap: u32::MAX,
+        })
+    }
+
+    /// Whether ordinary machines may be rented for a task that could wait for a spot machine: several
+    /// times as dear, they are for what would else miss an aim that nearly all must meet, and for what
+    /// has waited very long.
+    fn worth(&self, job: &Job, now: Time, start: Option<Time>, run: Span, boot: Span) -> bool {
+        let waited = now.since(job.submitted);
+        if start.is_none_or(|at| at > now + SPOT_PATIENCE / 4) && waited >= SPOT_PATIENCE {
+            return true;
+        }
+        let Some(due) = self.due(job) else { return start.is_some_and(|at| at > now + SPOT_PATIENCE) };
+        // Predictions made at once are poor: most backlogs are over sooner.
+        let settled = waited.0 * 3 >= due.since(job.submitted).0;
+        settled && start.is_none_or(|at| at + run > due) && now + boot + run <= due
+    }
+
+    /// When a job must be over for an aim that allows few misses.
+    fn due(&self, job: &Job) -> Option<Time> {
+        let strict_aim = self.settings.tuning.strict_aim;
+        let aims = || self.settings.deployment.objectives.iter().filter(|o| o.class == job.record.class);
+        if job.record.deadline.is_some() && aims().any(|o| o.kind == "deadline" && o.share >= strict_aim) {
+            return Some(job.deadline());
+        }
+        let strict = aims().filter(|o| o.kind == "finished" && o.share >= strict_aim).filter_map(|o| o.within_s);
+        strict.reduce(f64::min).map(|within| job.submitted + Span::secs(within))
+    }
+
+    /// When a job's tasks should be over: its deadline, or what the settings aim at for its class.
+    fn goal(&self, job: &Job) -> Time {
+        if job.record.deadline.is_some() {
+            return job.deadline();
+        }
+        let aims = self.settings.deployment.objectives.iter();
+        let within = aims
+            .filter(|o| o.kind == "finished" && o.class == job.record.class)
+            .filter_map(|o| o.within_s)
+            .fold(f64::MAX, f64::min);
+        if within == f64::MAX { Time(0) } else { job.submitted + Span::secs(within * 0.25) }
+    }
+
+    /// How many tasks of a job its team's limit lets run at once.
+    fn limit_left(&self, job: &Job) -> u32 {
+        let Some(team) = self.settings.deployment.teams.iter().find(|t| t.name == job.record.team) else { return 0 };
+        let part = |max: f64, need: u64| {
+            if max > 0.0 { ((max * 1000.0) as u64).checked_div(need).unwrap_or(u64::MAX) } else { u64::MAX }
+        };
+        part(team.cpus_max, job.record.need.cpus)
+            .min(part(team.gpus_max, job.record.need.gpus))
+            .min(u64::from(u32::MAX)) as u32
+    }
+
+    pub(crate) fn rent(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
+        if self.fleet.renting() || (!self.open() && now.since(self.since) < Span(3000)) {
+            return;
+        }
+        let demands = self.demands(now);
+        if demands.is_empty() {
+            return;
+        }
+        for d in &demands {
+            debug!("demand job={} count={} spot={} ordinary={}", d.job, d.count, d.spot, d.ordinary);
+        }
+        let mut zones: BTreeMap<(String, bool), u64> = BTreeMap::new();
+        for m in self.machines.values() {
+            *zones.entry((m.record.zone.clone(), m.record.spot)).or_insert(0) += m.capacity.cpus;
+        }
+        for (_, b) in self.fleet.booting() {
+            let cpus = self.fleet.flavor(&b.kind).map_or(0, |f| intake::capacity(f).cpus);
+            *zones.entry((b.zone.clone(), b.spot)).or_insert(0) += cpus;
+        }
+        let fleet = &self.fleet;
+        let avoided = &self.lost_zones;
+        let refused = |place: &Place| {
+            fleet.refused(place, now) || avoided.get(&place.1).is_some_and(|at| now.since(*at) < AVOID_ZONE)
+        };
+        let counts = fleet::choose(&demands, self.fleet.flavors().unwrap_or_default(), &refused, &mut zones);
+        let mut events = Vec::new();
+        // Ordinary machines first: services have no other place.
+        let mut calls: Vec<(Place, u32)> = counts
+            .into_iter()
+            .flat_map(|(place, count)| {
+                let parts = count.div_ceil(fleet::RENT_LIMIT);
+                (0..parts).map(move |i| (place.clone(), (count - i * fleet::RENT_LIMIT).min(fleet::RENT_LIMIT)))
+            })
+            .collect();
+        calls.sort_by_key(|(place, count)| (place.2, std::cmp::Reverse(*count)));
+        for (place, count) in calls.into_iter().take(self.fleet.calls_left()) {
+            self.fleet.rent(now, &place, count, &mut events);
+        }
+        self.hired(now, wall, events, out);
+    }
+
+    /// Empties an ordinary machine whose services fit on others that hold their images: a replica is
+    /// moved within a fraction of a second, and an ordinary machine is dear.
+    pub(crate) fn consolidate(&mut self, now: Time) {
+        // A start counts only if the task is not stopped within 30 s.
+        const SETTLED: Span = Span(40_000);
+        let draining = self.machines.values().any(|m| m.draining == Some(CONSOLIDATED));
+        if !self.open() || draining || now.since(self.since) < SETTLED || self.fleet.renting() {
+            return;
+        }
+        let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(0.0, f64::max);
+        let mut best: Option<(u64, MachineId)> = None;
+        for (id, m) in self.machines.iter().filter(|(_, m)| m.usable() && !m.record.spot) {
+            let settled = |h: &Hold| h.running_since.is_some_and(|r| now.since(r) > SETTLED) && h.stop.is_none();
+            let (services, others): (Vec<&Hold>, Vec<&Hold>) =
+                m.holds.values().filter(|h| h.occupies()).partition(|h| h.predicted.is_none());
+            if services.is_empty() || !others.is_empty() || !services.iter().all(|h| settled(h)) {
+                continue;
+            }
+            if now.since(m.since) < Span(60_000) || self.plans.server(*id).is_some_and(|s| !s.queue.is_empty()) {
+                continue;
+            }
+            let price = self.fleet.flavor(&m.record.kind).map_or(0.0, |f| f.price);
+            let saving = (price * 1e4) as u64 / (services.len() as u64);
+            if best.is_none_or(|(other, _)| saving > other) && self.fits_elsewhere(*id, &services, boots) {
+                best = Some((saving, *id));
+            }
+        }
+        let Some((_, id)) = best else { return };
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        info!("consolidating machine={id} services={}", m.holds.values().filter(|h| h.occupies()).count());
+        m.draining = Some(CONSOLIDATED);
+        let attempts: Vec<_> = m.holds.iter().filter(|(_, h)| h.occupies()).map(|(a, _)| *a).collect();
+        for attempt in attempts {
+            self.stop(id, attempt, 0.0);
+        }
+        self.plans.remove(id);
+    }
+
+    /// Whether services of a machine fit into free room of others that hold their images, with room
+    /// left for those that are likely to come.
+    fn fits_elsewhere(&self, from: MachineId, services: &[&Hold], boot_s: f64) -> bool {
+        let parts = self.parts();
+        let mut rooms: Vec<(&Machine, Room)> = self
+            .machines
+            .values()
+            .filter(|m| m.id() != from && m.usable() && !m.record.spot)
+            .map(|m| (m, m.free()))
+            .collect();
+        // Full machines first, so that larger room stays together.
+        rooms.sort_by_key(|(_, room)| room.cpus);
+        let mut moved: HashMap<(JobId, usize), u32> = HashMap::new();
+        for hold in services {
+            let Some(job) = self.book.get(hold.task.job) else { return false };
+            let zones = parts.by_zone(job);
+            let mut found = false;
+            for (m, room) in &mut rooms {
+                let Some(zone) = self.names.zone(&m.record.zone) else { continue };
+                let there =
+                    zones.get(&zone).copied().unwrap_or(0) + moved.get(&(job.record.id, zone)).copied().unwrap_or(0);
+                // Counted as if the replica stayed where it is: on the safe side.
+                let zone_free = there < job.record.zone_cap() && !job.record.together;
+                if hold.need.fits(room) && m.images.contains(&hold.image) && parts.allowed(job, m.id()) && zone_free {
+                    room.sub(&hold.need);
+                    *moved.entry((job.record.id, zone)).or_insert(0) += 1;
+                    found = true;
+                    break;
+                }
+            }
+            if !found {
+                return false;
+            }
+        }
+        let Some((job, wanted)) = self.expected_services(boot_s) else { return true };
+        let left: u64 =
+            rooms.iter().filter(|(m, _)| parts.allowed(job, m.id())).map(|(_, r)| job.record.need.times_in(r)).sum();
+        left >= wanted
+    }
+
+    /// Gives back what has been idle: a machine costs a minimum that is better used than wasted.
+    pub(crate) fn return_idle(&mut self, now: Time) {
+        const MINIMUM_CHARGE: Span = Span(60_000);
+        let mut idle = Vec::new();
+        for (id, m) in &mut self.machines {
+            let busy =
+                m.holds.values().any(Hold::occupies) || self.plans.server(*id).is_some_and(|s| !s.queue.is_empty());
+            if busy || !m.usable() {
+                m.idle_since = None;
+                continue;
+            }
+            let since = *m.idle_since.get_or_insert(now);
+            let keep = if m.record.spot { self.settings.tuning.idle_spot } else { self.settings.tuning.idle_ordinary };
+            if now.since(since) >= keep && now.since(m.since) >= MINIMUM_CHARGE {
+                idle.push(*id);
+            }
+        }
+        for id in idle {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.draining = Some("idle");
+            }
+            self.plans.remove(id);
+            self.fleet.give_back(id, "idle");
+        }
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -211,6 +211,11 @@
     pub idle_spot: Span,
     /// Log entries between two snapshots.
     pub snapshot_every: u64,
+    /// Ordinary machines are paid for tasks that could wait only for aims of at least this share.
+    pub strict_aim: f64,
+    /// Room is kept for so many times the services that are likely to come within a boot: they come in
+    /// bursts, and dying machines need it too.
+    pub room_ahead: f64,
 }
 
 impl Default for Tuning {
@@ -221,6 +226,8 @@
             idle_ordinary: Span(25_000),
             idle_spot: Span(12_000),
             snapshot_every: 200,
+            strict_aim: 0.875,
+            room_ahead: 3.0,
         }
     }
 }
@@ -234,12 +241,14 @@
             let section = section.unwrap_or("");
             for (name, value) in properties.iter() {
                 let path = format!("{section}.{name}");
-                let seconds = |low: f64, high: f64| -> Result<Span, SettingsError> {
+                let within = |what: &str, low: f64, high: f64| -> Result<f64, SettingsError> {
                     match value.parse::<f64>() {
-                        Ok(v) if v >= low && v <= high => Ok(Span::secs(v)),
-                        _ => Err(field(path.clone(), format!("`{value}` is not a time from {low} to {high} seconds"))),
+                        Ok(v) if v >= low && v <= high => Ok(v),
+                        _ => Err(field(path.clone(), format!("`{value}` is not a {what} from {low} to {high}"))),
                     }
                 };
+                let number = |low, high| within("number", low, high);
+                let seconds = |low, high| Ok::<_, SettingsError>(Span::secs(within("time in seconds", low, high)?));
                 match path.as_str() {
                     "leadership.lease_s" => tuning.leader_lease = seconds(0.5, 60.0)?,
                     "records.commit_every_s" => tuning.commit_every = seconds(0.02, 2.0)?,
@@ -250,6 +259,8 @@
                         }
                     }
                     "fleet.idle_ordinary_s" => tuning.idle_ordinary = seconds(0.0, 86_400.0)?,
+                    "fleet.strict_aim" => tuning.strict_aim = number(0.0, 1.0)?,
+                    "fleet.room_ahead" => tuning.room_ahead = number(0.0, 100.0)?,
                     "fleet.idle_spot_s" => tuning.idle_spot = seconds(0.0, 86_400.0)?,
                     _ => return Err(field(path, "not a known setting")),
                 }
@@ -389,6 +400,8 @@
         let tuning = Tuning::parse("[fleet]\nidle_spot_s = 5\n").unwrap();
         assert_eq!(tuning.idle_spot, Span(5000));
         assert!(Tuning::parse("[fleet]\nidle_spt_s = 5\n").unwrap_err().to_string().contains("fleet.idle_spt_s"));
+        assert_eq!(Tuning::parse("[fleet]\nstrict_aim = 0.95\n").unwrap().strict_aim, 0.95);
+        assert!(Tuning::parse("[fleet]\nstrict_aim = 95\n").unwrap_err().to_string().contains("fleet.strict_aim"));
         assert!(
             Tuning::parse("[leadership]\nlease_s = soon\n").unwrap_err().to_string().contains("leadership.lease_s")
         );
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -290,7 +290,7 @@
     pub withdraw_status: u16,
     pub submit_status: u16,
     /// When a question about it was answered last.
-    answered_at: u64,
+    pub answered_at: u64,
     /// When the first of its tasks started.
     pub begun: Option<u64>,
     pub accepted_at: u64,
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -173,6 +173,10 @@
         ["answers", "within", ms] => {
             assert!(sim.slowest <= ms.parse().expect("milliseconds"), "{at}: an answer took {} ms", sim.slowest);
         }
+        ["answered", id, "within", ms] => {
+            let ago = sim.now - sim.jobs[*id].answered_at;
+            assert!(ago <= ms.parse().expect("milliseconds"), "{at}: {id} was answered for {ago} ms ago");
+        }
         ["healthy", "cornered", yes] => {
             assert_eq!(sim.healthy[&(names["cornered"] as usize)], *yes == "yes", "{at}");
         }
