What a machine costs per task is asked for a whole class of services

Cause: each service of three replicas was bought small machines for, although a large one is cheaper per CPU and holds more images; the users ask for like tasks to be decided as a class.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -397,8 +397,15 @@
     zones: &mut BTreeMap<(String, bool), u64>,
 ) -> BTreeMap<Place, u32> {
     let mut bought: Vec<(Place, Room)> = Vec::new();
-    for demand in demands {
+    for (n, demand) in demands.iter().enumerate() {
         let mut left = demand.count;
+        // What a machine costs per task is asked for the whole class: three replicas of one service do
+        // not fill a large machine, but those of the next ones do.
+        let alike = |other: &&Demand| {
+            (other.need, other.spot, other.ordinary, &other.types, &other.zone)
+                == (demand.need, demand.spot, demand.ordinary, &demand.types, &demand.zone)
+        };
+        let others: u32 = demands[n + 1..].iter().filter(alike).map(|d| d.count).sum();
         let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
         let allowed = |place: &Place| {
             (if place.2 { demand.spot } else { demand.ordinary })
@@ -430,7 +437,8 @@
                             continue;
                         }
                         let price = if spot { flavor.spot_price } else { flavor.price };
-                        let cost = (price / f64::from(take) * 1e6) as u64;
+                        let fill = fit.min(left + others);
+                        let cost = (price / f64::from(fill) * 1e6) as u64;
                         let key = (cost, zones.get(&(zone.clone(), spot)).copied().unwrap_or(0));
                         if best.as_ref().is_none_or(|(other, ..)| key < *other) {
                             best = Some((key, place, room, take));
@@ -491,6 +499,31 @@
         assert!(fleet.refused(&("small".into(), "a".into(), true), Time(6000)), "only partly filled");
     }
 
+    /// Many services of a few replicas each fill a large machine that is cheaper per CPU.
+    #[test]
+    fn what_a_machine_costs_per_task_is_asked_for_the_class() {
+        let mut large = crate::intake::tests::flavor();
+        (large.name, large.cpus, large.memory_gb, large.price) = ("large".into(), 16.0, 64.0, 0.99);
+        let flavors = [crate::intake::tests::flavor(), large];
+        let demand = |job| Demand {
+            job: JobId(job),
+            need: Room { cpus: 1000, gpus: 0, memory: 3200 },
+            count: 3,
+            spot: false,
+            ordinary: true,
+            types: None,
+            zone: None,
+            zone_cap: 2,
+        };
+        let bought = |jobs: u64| -> Vec<(String, u32)> {
+            let demands: Vec<Demand> = (0..jobs).map(demand).collect();
+            let got = choose(&demands, &flavors, &|_| false, &mut BTreeMap::new());
+            got.into_iter().map(|(place, n)| (place.0, n)).collect()
+        };
+        assert_eq!(bought(1), [("small".into(), 1), ("small".into(), 1)]);
+        assert_eq!(bought(8), [("large".into(), 1), ("large".into(), 1)]);
+    }
+
     #[test]
     fn like_tasks_are_bought_for_as_a_class_and_spread() {
         let flavors = [crate::intake::tests::flavor()];
