A process's clock starts far from 0: jobs keep their age when all processes were lost

Cause: the clock of a process began at one second, so that the instant of everything before the process was 0. After all nodes had been lost at once, the jobs' order of arrival was gone, deadlines came later than the users' and patience counted anew. Found by reading; the stand-ins' nodes shared one clock and could not show it. They have clocks of their own now; jobs_are_as_old_as_they_are_after_all_processes_were_lost fails with the old start.

--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -7,7 +7,7 @@
 use crate::controller::{Controller, Effect, Input, Origin, Slot};
 use crate::peers::{Answer, Frame};
 use crate::settings::Settings;
-use crate::units::{Time, Wall};
+use crate::units::{Span, Time, Wall};
 use log::{debug, info};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::collections::HashMap;
@@ -85,8 +85,7 @@
             }
             None => return Ok(()),
         };
-        // The clock starts at one second, so that "long ago" can be told from "never".
-        let now = Time(start.elapsed().as_millis() as u64 + 1000);
+        let now = Time::START + Span(start.elapsed().as_millis() as u64);
         let wall = Wall(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64));
         for effect in controller.handle(now, wall, input) {
             match effect {
--- a/src/units.rs
+++ b/src/units.rs
@@ -156,6 +156,9 @@
 impl Time {
     /// Later than all that will happen.
     pub const NEVER: Time = Time(u64::MAX);
+    /// A process's clock starts here, some decades from 0: what was so before the process began has an
+    /// instant too, and "long ago" can be told from "never".
+    pub const START: Time = Time(1 << 40);
     /// The time that has passed since `earlier`, none if it lies ahead.
     pub fn since(self, earlier: Time) -> Span {
         Span(self.0.saturating_sub(earlier.0))
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use caperstile::peers::{Answer, UserCall};
 use caperstile::settings::Settings;
 use caperstile::store::{Reply, StateCall};
-use caperstile::units::{MachineId, Time, Wall};
+use caperstile::units::{MachineId, Span, Time, Wall};
 use caperstile::wire::{Change, Commands, Order, Report, ReportAnswer, ReportedTask, TaskState, Txn};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -309,6 +309,7 @@
     queue: BTreeMap<(u64, u64), Event>,
     pub nodes: Vec<Option<Controller>>,
     epochs: Vec<u64>,
+    born: Vec<u64>,
     pub state: State,
     pub workers: BTreeMap<u64, Worker>,
     machines: u64,
@@ -357,6 +358,7 @@
             queue: BTreeMap::new(),
             nodes: (0..site.nodes).map(|_| None).collect(),
             epochs: vec![0; site.nodes],
+            born: vec![0; site.nodes],
             state: State { page: site.page, value_bytes: (site.value_kb * 1024.0) as usize, ..State::default() },
             workers: BTreeMap::new(),
             machines: 0,
@@ -415,6 +417,7 @@
             return;
         }
         self.epochs[node] += 1;
+        self.born[node] = self.now;
         let incarnation = self.epochs[node] * 10 + node as u64 + self.chance(1000) * 100;
         self.nodes[node] = Some(Controller::new(settings(&self.site, node), incarnation));
         let epoch = self.epochs[node];
@@ -510,8 +513,13 @@
         self.after(delay, Event::Input(node, epoch, Box::new(input)));
     }
 
+    /// What a node's own clock says: it starts with the process.
+    pub fn clock(&self, node: usize) -> Time {
+        Time::START + Span(self.now - self.born[node])
+    }
+
     fn feed(&mut self, node: usize, input: Input) {
-        let now = Time(self.now + 10_000);
+        let now = self.clock(node);
         let wall = Wall(1_700_000_000_000 + self.now);
         let Some(controller) = &mut self.nodes[node] else { return };
         let effects = controller.handle(now, wall, input);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -255,3 +255,19 @@
         assert!(log < 40, "{log} log entries are left");
     }
 }
+
+/// A process's clock starts anew with it. Jobs from before were taken to be as old as the process, so that
+/// their order was lost, and deadlines came and patience ended too late.
+#[test]
+fn jobs_are_as_old_as_they_are_after_all_processes_were_lost() {
+    let mut sim = Sim::new(3);
+    sim.capacity.values_mut().for_each(|machines| *machines = 0);
+    sim.submit("job-000001", &[]);
+    sim.run_until(60_000);
+    (0..3).for_each(|n| sim.bounce(n, 500));
+    sim.run_until(66_000);
+    let leader = sim.leader().expect("somebody leads");
+    let book = sim.nodes[leader].as_ref().and_then(|c| c.reign()).expect("a reign").book();
+    let age = sim.clock(leader).since(book.get("job-000001".parse().unwrap()).expect("known").submitted);
+    assert!((63.0..66.0).contains(&age.as_secs()), "{} s", age.as_secs());
+}
