One machine at a time in a zone without any; nothing planned where they do not come up

The test written for it found worse: a replica was planned again and again on a machine on its way there that never came up, and waited for ever. Kept: nothing may wait for ever.

--- a/src/reign.rs
+++ b/src/reign.rs
@@ -55,6 +55,10 @@
     pub(crate) noticed: BTreeSet<MachineId>,
     /// Zones in which most machines fell silent, and when that was seen last.
     pub(crate) lost_zones: HashMap<String, Time>,
+    /// Zones in which no machine is up while others have several.
+    pub(crate) empty_zones: BTreeSet<String>,
+    /// Those of them where machines fell silent or do not come up.
+    pub(crate) doubtful: BTreeSet<String>,
     /// Jobs from here on were not looked at in the last round of planning.
     pub(crate) untried: Option<Order>,
     /// Direct commands under way.
@@ -93,6 +97,8 @@
             wanting: BTreeSet::new(),
             noticed: BTreeSet::new(),
             lost_zones: HashMap::new(),
+            empty_zones: BTreeSet::new(),
+            doubtful: BTreeSet::new(),
             untried: None,
             flights: 0,
             unfenced: BTreeSet::new(),
--- a/src/renting.rs
+++ b/src/renting.rs
@@ -9,7 +9,7 @@
 use crate::units::{JobId, MachineId, Room, Span, Time, Wall};
 use crate::workers::{Hold, Machine};
 use log::{debug, info};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Tasks that may use spot machines wait so long for one before an ordinary one is rented: it costs
 /// several times as much, and spot machines become free.
@@ -207,10 +207,19 @@
         }
         let fleet = &self.fleet;
         let avoided = &self.lost_zones;
+        let (doubtful, empty) = (&self.doubtful, &self.empty_zones);
+        let coming = |zone: &str| fleet.booting().any(|(_, b)| b.zone == zone);
         let refused = |place: &Place| {
-            fleet.refused(place, now) || avoided.get(&place.1).is_some_and(|at| now.since(*at) < AVOID_ZONE)
+            fleet.refused(place, now)
+                || avoided.get(&place.1).is_some_and(|at| now.since(*at) < AVOID_ZONE)
+                || doubtful.contains(&place.1)
+                || (empty.contains(&place.1) && coming(&place.1))
         };
-        let counts = fleet::choose(&demands, self.fleet.flavors().unwrap_or_default(), &refused, &mut zones);
+        let mut counts = fleet::choose(&demands, self.fleet.flavors().unwrap_or_default(), &refused, &mut zones);
+        for (_, count) in counts.iter_mut().filter(|(place, _)| empty.contains(&place.1)) {
+            *count = 1;
+        }
+        counts.extend(self.probes(now).into_iter().map(|place| (place, 1)));
         let mut events = Vec::new();
         // Ordinary machines first: services have no other place.
         let mut calls: Vec<(Place, u32)> = counts
@@ -227,6 +236,55 @@
         self.hired(now, wall, events, out);
     }
 
+    /// Notes the zones in which no machine is up while others have several.
+    ///
+    /// Such a zone looks the emptiest and would get everything that is rented, although it may be cut off;
+    /// a new leader cannot know. One machine at a time is rented there; and where machines fell silent or
+    /// do not come up, nothing is planned on those on their way.
+    pub(crate) fn doubt_zones(&mut self, now: Time) {
+        const SEVERAL: usize = 4;
+        const REMEMBERED: Span = Span(120_000);
+        let heard = Span::secs(self.settings.deployment.workers.report_s * 2.0 + 2.0);
+        let mut up: HashMap<&str, usize> = HashMap::new();
+        for m in self.machines.values().filter(|m| m.fenced && now.since(m.reached) < heard) {
+            *up.entry(&m.record.zone).or_default() += 1;
+        }
+        let mut empty = BTreeSet::new();
+        if up.values().sum::<usize>() >= SEVERAL {
+            let zones = self.fleet.flavors().into_iter().flatten().flat_map(|f| &f.zones);
+            empty.extend(zones.filter(|zone| !up.contains_key(zone.as_str())).cloned());
+        }
+        for (_, b) in self.fleet.booting().filter(|(_, b)| empty.contains(&b.zone)) {
+            let boot = self.fleet.flavor(&b.kind).map_or(60.0, |f| f.boot_s);
+            if now.since(b.since) > Span::secs(boot * 1.6 + 3.0) {
+                self.lost_zones.insert(b.zone.clone(), now);
+            }
+        }
+        let lost = |zone: &&String| self.lost_zones.get(*zone).is_some_and(|at| now.since(*at) < REMEMBERED);
+        let doubtful: BTreeSet<String> = empty.iter().filter(lost).cloned().collect();
+        if doubtful != self.doubtful {
+            self.doubtful = doubtful;
+            self.changed.extend(self.fleet.booting().map(|(id, _)| *id));
+        }
+        self.empty_zones = empty;
+    }
+
+    /// One machine for each doubtful zone that has none on its way: it shows whether the zone is there.
+    fn probes(&self, now: Time) -> Vec<Place> {
+        let none_coming = |zone: &&String| {
+            let avoided = self.lost_zones.get(*zone).is_some_and(|at| now.since(*at) < AVOID_ZONE);
+            !avoided && !self.fleet.booting().any(|(_, b)| b.zone == **zone)
+        };
+        let cheapest = |zone: &String| {
+            let here = self.fleet.flavors().into_iter().flatten().filter(|f| f.zones.contains(zone));
+            let places = here.flat_map(|f| [(f.spot_price, f, true), (f.price, f, false)]);
+            let places = places.map(|(price, f, spot)| (price, (f.name.clone(), zone.clone(), spot)));
+            let open = places.filter(|(_, place)| !self.fleet.refused(place, now));
+            open.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, place)| place)
+        };
+        self.doubtful.iter().filter(none_coming).filter_map(cheapest).collect()
+    }
+
     /// Empties an ordinary machine whose services fit on others that hold their images: a replica is
     /// moved within a fraction of a second, and an ordinary machine is dear.
     pub(crate) fn consolidate(&mut self, now: Time) {
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -196,6 +196,9 @@
         }
         self.dirty = false;
         self.scheduled = now;
+        if look {
+            self.doubt_zones(now);
+        }
         self.schedule(now, look);
         if look {
             self.demanded = now;
@@ -297,7 +300,7 @@
                 ..Server::default()
             });
         }
-        let b = self.fleet.booting_one(id)?;
+        let b = self.fleet.booting_one(id).filter(|b| !self.doubtful.contains(&b.zone))?;
         let flavor = self.fleet.flavor(&b.kind)?;
         let free = intake::capacity(flavor);
         Some(Server {
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -106,3 +106,24 @@
         assert!(begun - job.accepted_at < 240_000, "{id} began after {} ms", begun - job.accepted_at);
     }
 }
+
+/// A zone that is cut off looks the emptiest, to a new leader above all: replacements were rented there, and
+/// services waited for machines that could not report. One machine at a time is enough to see.
+#[test]
+fn replacements_for_a_lost_zone_are_rented_elsewhere() {
+    let mut sim = Sim::at(Site { zones: vec!["a", "b", "c"], ..Site::small() }, 13);
+    for n in 0..12 {
+        sim.submit(&format!("job-{n:06}"), &service(3, 1.0, n % 3));
+    }
+    sim.run_until(40_000);
+    assert!(["a", "b", "c"].iter().all(|zone| sim.in_zone(zone) >= 2));
+    sim.cut_zone("c");
+    sim.run_until(41_000);
+    let leader = sim.leader().expect("somebody leads");
+    sim.bounce(leader, 400);
+    for at in (60..160).step_by(5) {
+        sim.run_until(at * 1000);
+        assert!(sim.in_zone("c") <= 1, "{} machines in the lost zone after {at} s", sim.in_zone("c"));
+    }
+    all_served(&sim);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -329,6 +329,8 @@
     pub cornered: BTreeSet<usize>,
     /// Of a hundred reports so many come once more, up to so many milliseconds late.
     pub copies: (u64, u64),
+    /// Zones that are cut off, whatever is rented there.
+    cut_zones: BTreeSet<String>,
     /// Machines that were given back, and when.
     returned: BTreeMap<u64, u64>,
     pub watch_enrolments: bool,
@@ -377,6 +379,7 @@
             deaf: BTreeSet::new(),
             cornered: BTreeSet::new(),
             copies: (0, 0),
+            cut_zones: BTreeSet::new(),
             returned: BTreeMap::new(),
             watch_enrolments: false,
             mended_at: None,
@@ -756,7 +759,7 @@
                             renewed: 0,
                             notice_until: None,
                             sick: false,
-                            cut: false,
+                            cut: self.cut_zones.contains(&request.zone),
                             alive: true,
                             up: false,
                         },
@@ -806,6 +809,17 @@
         }
     }
 
+    /// Cuts a zone off, with all that is rented there later.
+    pub fn cut_zone(&mut self, zone: &str) {
+        self.cut_zones.insert(zone.to_string());
+        self.workers.values_mut().filter(|w| w.zone == zone).for_each(|w| w.cut = true);
+    }
+
+    /// Machines that are rented in a zone.
+    pub fn in_zone(&self, zone: &str) -> usize {
+        self.workers.values().filter(|w| w.zone == zone).count()
+    }
+
     /// Ends a cut or deafness: what was held back is delivered, in order.
     pub fn heal(&mut self, machine: u64) {
         self.deaf.remove(&machine);
