--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -34,6 +34,9 @@
     assert!(sim.broken.is_empty(), "{:?}", sim.broken);
     for (id, job) in &sim.jobs {
         let pieces = job.pieces() as usize;
+        let began =
+            job.begun.unwrap_or_else(|| panic!("{id} has not begun")) - job.accepted_at.min(job.begun.unwrap_or(0));
+        assert!(began < 240_000, "{id} began after {began} ms");
         assert!(
             job.told == "done" || sim.running(id) == pieces,
             "{id} is {}: {} of {pieces}",
@@ -74,6 +77,10 @@
     for n in 50..70 {
         sim.submit(&format!("job-{n:06}"), &array([35, 60, 250][n % 3], 2.0, 10.0, "standard"));
     }
+    // As many short ones as a grown day leaves finished.
+    for n in 1000..1800 {
+        sim.submit(&format!("job-{n:06}"), &array(1, 1.0, 1.0, "standard"));
+    }
     sim.run_until(45_000);
     (0..7).for_each(|n| sim.bounce(n, 300 + n as u64 * 700));
     sim.run_until(50_000);
