--- a/src/records.rs
+++ b/src/records.rs
@@ -8,7 +8,7 @@
 use crate::leadership::LEADER_KEY;
 use crate::store::{Reply, StateCall, condition};
 use crate::units::{EntryNo, JobId, MachineId, Ranges, Revision, Span, TaskId, Time, Token, Wall};
-use crate::wire::{Change, KeyPage, Txn, TxnAnswer};
+use crate::wire::{Change, KeyPage, KeyValue, Txn, TxnAnswer};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
@@ -96,6 +96,8 @@
     LoadLog,
     Commit,
     Snapshot,
+    /// Reads the manifest's revision after a write of it got no answer.
+    Settle,
 }
 
 #[derive(Debug)]
@@ -107,6 +109,13 @@
     retry_at: Option<Time>,
 }
 
+impl InFlight {
+    /// Whether it writes the manifest.
+    fn names_manifest(&self) -> bool {
+        matches!(&self.call, StateCall::Txn(txn) if txn.conditions.iter().any(|c| c.key == MANIFEST))
+    }
+}
+
 #[derive(Debug)]
 struct Snapshot {
     steps: VecDeque<Vec<Change>>,
@@ -125,6 +134,12 @@
     calls: u64,
     loaded: bool,
     manifest: Option<Manifest>,
+    /// Revision of the manifest's key, 0 if there is none; `None`: it has to be read.
+    ///
+    /// The manifest is the only key that is written over, so its write is conditional on this. Without, a repeat
+    /// of a write that was carried out came late, put an earlier manifest back, which names chunks and log
+    /// entries that were removed since, and the next leader read an empty log.
+    stamp: Option<Revision>,
     /// Keys that no reader needs any more.
     stray: Vec<String>,
     /// Chunks of the snapshot in force; the next one makes them stray.
@@ -172,6 +187,7 @@
             calls: 0,
             loaded: false,
             manifest: None,
+            stamp: Some(Revision(0)),
             stray: Vec::new(),
             kept: Vec::new(),
             chunks: Vec::new(),
@@ -276,14 +292,21 @@
         {
             self.commit(now, out);
         }
-        if self.busy(&Purpose::Snapshot) {
+        if self.busy(&Purpose::Snapshot) || self.busy(&Purpose::Settle) {
             return;
         }
+        let Some(stamp) = self.stamp else {
+            return self.call(now, Purpose::Settle, StateCall::Get(MANIFEST.into()), out);
+        };
         match self.snapshot.as_ref().map(|s| s.steps.front().cloned()) {
             // Commits go first: three changes stay free for them.
             Some(Some(step)) if self.budget >= (step.len() + 3).min(limit as usize) as f64 => {
                 self.budget -= step.len() as f64;
-                let txn = self.txn(step);
+                let names_it = step.iter().any(|c| matches!(c, Change::Put { key, .. } if key == MANIFEST));
+                let mut txn = self.txn(step);
+                if names_it {
+                    txn.conditions.push(condition(MANIFEST, stamp));
+                }
                 self.call(now, Purpose::Snapshot, StateCall::Txn(txn), out);
             }
             Some(None) => self.snapshot = None,
@@ -330,18 +353,29 @@
                 None => false,
             },
             (Purpose::Commit | Purpose::Snapshot, 200) => {
-                self.in_flight.remove(at);
+                let flight = self.in_flight.remove(at);
+                if flight.names_manifest() {
+                    self.stamp = reply.parse::<TxnAnswer>().map(|answer| Revision(answer.revision));
+                }
                 self.done(now, &purpose, out);
                 true
             }
+            (Purpose::Settle, 200 | 404) => {
+                self.in_flight.remove(at);
+                let read = if reply.status == 200 { reply.parse::<KeyValue>().map(|kv| kv.version) } else { Some(0) };
+                self.stamp = read.map(Revision);
+                true
+            }
             (Purpose::Commit | Purpose::Snapshot, 409) => {
                 let failed = reply.parse::<TxnAnswer>().unwrap_or_default().failed;
-                self.in_flight.remove(at);
+                if self.in_flight.remove(at).names_manifest() {
+                    self.stamp = None;
+                }
                 if failed.iter().any(|k| k == LEADER_KEY) || failed.is_empty() {
                     out.push(Event::Deposed);
                 } else {
-                    // Only this node writes under its token, so the entry is our own earlier try
-                    // whose answer was lost.
+                    // Only this node writes under its token, so the entry or manifest is our own earlier
+                    // try whose answer was lost.
                     self.done(now, &purpose, out);
                 }
                 true
@@ -369,6 +403,7 @@
         for kv in page.items {
             match purpose {
                 Purpose::LoadSnapshot if kv.key == MANIFEST => {
+                    self.stamp = Some(Revision(kv.version));
                     self.manifest = serde_json::from_value(kv.value).ok();
                 }
                 Purpose::LoadSnapshot => self.chunks.push((kv.key, kv.value)),
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -483,7 +483,8 @@
         }
         self.maybe_schedule(now, wall, certain, out);
         if let Some(machine) = self.machines.get_mut(&id) {
-            let orders = if machine.fenced { machine.orders() } else { Vec::new() };
+            let keep = self.settings.deployment.workers.copies_over();
+            let orders = if machine.fenced { machine.orders(now, keep) } else { Vec::new() };
             machine.answered = now;
             machine.told = machine.last_report;
             let body = serde_json::to_string(&ReportAnswer { token: self.token.0, orders }).unwrap_or_default();
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -489,6 +489,8 @@
                 doubt: Doubt::None,
                 stop: None,
                 stop_sent: false,
+                direct: false,
+                ended: now,
                 reapable: false,
                 claimed: true,
                 need: entry.need,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -186,6 +186,11 @@
     pub fn overdue(&self) -> Span {
         Span::secs(self.report_s * 2.0 + 2.0)
     }
+
+    /// A copy of a message may come well over a lease late; after this time none is expected any more.
+    pub fn copies_over(&self) -> Span {
+        Span::secs(self.lease_s * 2.0)
+    }
 }
 
 impl Resources {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -10,6 +10,8 @@
 
 /// Most orders in one message: it must stay far below 64 KiB.
 const ORDERS_LIMIT: usize = 300;
+/// Ended attempts that a machine is left with: its reports must stay far below 64 KiB.
+const ENDED_LIMIT: usize = 200;
 
 /// Whether a machine's enrolment is durable.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,6 +65,10 @@
     pub stop: Option<f64>,
     /// Whether the stop was sent directly.
     pub stop_sent: bool,
+    /// Whether a direct command started it, of which a copy may come late.
+    pub direct: bool,
+    /// When it ended.
+    pub ended: Time,
     /// The worker may forget it (its end is durable or does not matter).
     pub reapable: bool,
     /// The task counts as on this machine for its job.
@@ -329,6 +335,8 @@
                 doubt: Doubt::None,
                 stop: Some(0.0),
                 stop_sent: false,
+                direct: false,
+                ended: now,
                 reapable: true,
                 claimed: false,
                 need: Room::default(),
@@ -350,6 +358,7 @@
             return;
         }
         hold.phase = phase;
+        hold.ended = now;
         match phase {
             Phase::Running => {
                 hold.running_since = Some(now);
@@ -386,13 +395,18 @@
     ///
     /// What the worker has not shown is ordered again: `run` of an attempt that it holds has no
     /// effect. An attempt that is to be stopped unseen gets `run` before `kill`, so that the worker
-    /// knows it, and a late copy of the direct `run` finds it exited.
-    pub fn orders(&self) -> Vec<Order> {
+    /// knows it, and a late copy of the direct `run` finds it exited. For the same reason the worker is
+    /// left with an ended attempt that was started directly for `keep`: once it has forgotten it, a copy
+    /// of the command, carried out late although the command was answered, would start it anew.
+    pub fn orders(&self, now: Time, keep: Span) -> Vec<Order> {
         let mut orders = Vec::new();
+        let mut too_many = self.holds.values().filter(|h| !h.occupies()).count().saturating_sub(ENDED_LIMIT);
         for (attempt, hold) in &self.holds {
             let (task, attempt) = (hold.task.to_string(), attempt.0);
             if hold.phase == Phase::Exited {
-                if hold.reapable && hold.doubt == Doubt::None {
+                let safe = !hold.direct || now.since(hold.ended) >= keep;
+                if hold.reapable && hold.doubt == Doubt::None && (safe || too_many > 0) {
+                    too_many = too_many.saturating_sub(1);
                     orders.push(Order::Reap { task, attempt });
                 }
                 continue;
@@ -420,6 +434,7 @@
             match hold.stop {
                 None if !hold.seen && hold.doubt == Doubt::None && hold.phase == Phase::Ordered => {
                     hold.doubt = Doubt::InFlight(command);
+                    hold.direct = true;
                     orders.push(Order::Run { task, attempt });
                 }
                 Some(grace_s) if hold.seen && hold.occupies() && !hold.stop_sent => {
@@ -495,6 +510,8 @@
             doubt,
             stop: None,
             stop_sent: false,
+            direct: doubt != Doubt::None,
+            ended: Time(0),
             reapable: true,
             claimed: true,
             need: Room { cpus: 1000, gpus: 0, memory: 1000 },
@@ -578,12 +595,26 @@
         m.stop(Attempt(1), 0.0);
         let (task, attempt) = ("job-000001/0".to_string(), 1);
         let kill = Order::Kill { task: task.clone(), attempt, grace_s: 0.0 };
-        assert_eq!(m.orders(), [Order::Run { task, attempt }, kill]);
+        assert_eq!(m.orders(Time(1), Span(0)), [Order::Run { task, attempt }, kill]);
         assert!(m.direct_orders(9).is_empty(), "only answers to reports are never executed late");
         m.fenced = true;
         let exited = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "exited", "Cause": "halted"}]);
         m.message(Time(1), &report(1, 1, 7, exited), Token(7), &mut Vec::new());
-        assert!(m.orders().is_empty(), "a late copy would start it anew");
+        assert!(m.orders(Time(1), Span(0)).is_empty(), "a late copy would start it anew");
+    }
+
+    /// A copy of an answered command, carried out late, started a task anew that had been reaped.
+    #[test]
+    fn what_a_direct_command_started_is_reaped_only_when_no_copy_comes_any_more() {
+        let mut m = machine();
+        m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::InFlight(3)));
+        m.command_over(Time(10), 3, true);
+        m.fenced = true;
+        let exited = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "exited", "Cause": "done"}]);
+        m.message(Time(1000), &report(1, 1, 7, exited), Token(7), &mut Vec::new());
+        assert!(m.orders(Time(30_999), Span(30_000)).is_empty());
+        let reap = Order::Reap { task: "job-000001/0".into(), attempt: 1 };
+        assert_eq!(m.orders(Time(31_000), Span(30_000)), [reap]);
     }
 
     #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -255,8 +255,10 @@
     Tick(usize, u64),
     Input(usize, u64, Box<Input>),
     State(usize, u64, Slot, u64, Box<StateCall>),
+    StateRepeat(Box<StateCall>),
     Cloud(usize, u64, u64, u64, Box<CloudCall>),
     Command { node: usize, epoch: u64, token: u64, machine: u64, id: u64, body: Box<Commands> },
+    CommandRepeat(u64, Box<Commands>),
     CommandTimeout { node: usize, epoch: u64, token: u64, machine: u64, id: u64 },
     Report(u64, u64, Box<Report>),
     WorkerTick(u64),
@@ -329,6 +331,9 @@
     pub cornered: BTreeSet<usize>,
     /// Of a hundred reports so many come once more, up to so many milliseconds late.
     pub copies: (u64, u64),
+    /// Of a hundred transactions and direct commands so many are carried out once more, up to so many
+    /// milliseconds late, although they were answered.
+    pub repeats: (u64, u64),
     /// Zones that are cut off, whatever is rented there.
     cut_zones: BTreeSet<String>,
     /// Machines that were given back, and when.
@@ -379,6 +384,7 @@
             deaf: BTreeSet::new(),
             cornered: BTreeSet::new(),
             copies: (0, 0),
+            repeats: (0, 0),
             cut_zones: BTreeSet::new(),
             returned: BTreeMap::new(),
             watch_enrolments: false,
@@ -472,6 +478,7 @@
         self.state.writes_left = None;
         self.state.deaf.clear();
         self.copies = (0, 0);
+        self.repeats = (0, 0);
         self.uncorner();
         (0..self.site.nodes).for_each(|n| self.start(n));
         let machines: Vec<u64> = self.workers.keys().copied().collect();
@@ -542,12 +549,20 @@
                     }
                     self.after(delay, Event::Input(to, its_epoch, Box::new(Input::Forwarded(id, answer))));
                 }
-                Effect::State(slot, id, call) => self.after(delay, Event::State(node, epoch, slot, id, Box::new(call))),
+                Effect::State(slot, id, call) => {
+                    if let Some(late) = self.repeated() {
+                        self.after(late, Event::StateRepeat(Box::new(call.clone())));
+                    }
+                    self.after(delay, Event::State(node, epoch, slot, id, Box::new(call)));
+                }
                 Effect::Cloud(token, id, call) => {
                     self.after(50 + delay, Event::Cloud(node, epoch, token, id, Box::new(call)));
                 }
                 Effect::Command { token, machine, id, body, .. } => {
                     let machine = machine.0;
+                    if let Some(late) = self.repeated() {
+                        self.after(late, Event::CommandRepeat(machine, Box::new(body.clone())));
+                    }
                     self.after(delay, Event::Command { node, epoch, token, machine, id, body: Box::new(body) });
                     self.after(1500, Event::CommandTimeout { node, epoch, token, machine, id });
                 }
@@ -570,6 +585,12 @@
         }
     }
 
+    /// Whether a request is carried out once more, and how much later.
+    fn repeated(&mut self) -> Option<u64> {
+        let (share, late) = self.repeats;
+        (share > 0 && self.chance(100) < share).then(|| 20 + self.chance(late.max(1)))
+    }
+
     // ---- users ----
 
     /// Submits a job; `change` sets fields of a two-task batch job.
@@ -931,6 +952,21 @@
         self.after(left, Event::LeaseCheck(machine));
     }
 
+    /// A direct command has reached a worker.
+    fn commanded(&mut self, machine: u64, body: &Commands) -> u16 {
+        let w = self.workers.get_mut(&machine).expect("a worker");
+        let mut status = 409;
+        if body.token >= w.token {
+            w.token = body.token;
+            if body.session == w.session {
+                status = 200;
+                self.execute(machine, &body.orders);
+            }
+        }
+        self.report_soon(machine);
+        status
+    }
+
     fn execute(&mut self, machine: u64, orders: &[Order]) {
         let room = self.site.cores;
         for order in orders {
@@ -1134,6 +1170,11 @@
                 let delay = if reply.status == 0 { 950 } else { 1 + self.chance(4) };
                 self.after(delay, Event::Input(node, epoch, Box::new(Input::State(slot, id, reply))));
             }
+            Event::StateRepeat(call) => {
+                if matches!(*call, StateCall::Txn(_)) {
+                    self.state.handle(self.now, usize::MAX, &call);
+                }
+            }
             Event::Cloud(node, epoch, token, id, call) => {
                 let (status, body) = self.cloud(&call);
                 let reply = Reply { status, body: body.to_string().into() };
@@ -1148,15 +1189,7 @@
                 if !w.alive || !w.up {
                     return;
                 }
-                let mut status = 409;
-                if body.token >= w.token {
-                    w.token = body.token;
-                    if body.session == w.session {
-                        status = 200;
-                        self.execute(machine, &body.orders);
-                    }
-                }
-                self.report_soon(machine);
+                let status = self.commanded(machine, &body);
                 let report = self.make_report(machine);
                 if self.answered_commands.insert((node, epoch, id)) {
                     let reply = Reply { status, body: serde_json::to_vec(&report).expect("JSON").into() };
@@ -1164,6 +1197,11 @@
                     self.after(2, Event::Input(node, epoch, Box::new(input)));
                 }
             }
+            Event::CommandRepeat(machine, body) => {
+                if self.workers.get(&machine).is_some_and(|w| w.alive && w.up && !w.cut) {
+                    self.commanded(machine, &body);
+                }
+            }
             Event::CommandTimeout { node, epoch, token, machine, id } => {
                 if self.answered_commands.insert((node, epoch, id)) {
                     let input = Input::Command(token, MachineId(machine), id, Reply::none());
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -89,6 +89,10 @@
                 sim.watch_enrolments = true;
                 sim.copies = (percent.parse().expect("a share"), late * 1000);
             }
+            ("repeats", [percent, seconds]) => {
+                let late: u64 = seconds.parse().expect("seconds");
+                sim.repeats = (percent.parse().expect("a share"), late * 1000);
+            }
             ("corner", ["leader"]) => {
                 let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
                 sim.corner(leader);
@@ -220,6 +224,7 @@
     finish_not_yet_durable,
     follower_in_its_corner,
     late_copies,
+    late_repeats,
     leader_in_its_corner,
     outage_then_all_nodes_lost,
     quiet_day,
@@ -256,6 +261,27 @@
     }
 }
 
+/// Transactions that were carried out are carried out once more, late: a manifest that came back named a snapshot
+/// that was removed since, and the next leader knew nothing.
+#[test]
+fn a_snapshot_is_not_replaced_by_a_late_repeat_of_an_earlier_one() {
+    for seed in 0..6 {
+        let mut sim = Sim::new(seed);
+        sim.repeats = (100, 25_000);
+        for n in 0..50 {
+            sim.run_until(1000 + n * 600);
+            sim.submit(&format!("job-{n:06}"), &[("Pieces", json!(1)), ("RuntimeS", json!(2.0))]);
+        }
+        sim.run_until(42_000 + seed * 500);
+        (0..3).for_each(|n| sim.bounce(n, 300));
+        sim.run_until(90_000);
+        assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+        for (id, job) in &sim.jobs {
+            assert_eq!(job.told, "done", "{id}");
+        }
+    }
+}
+
 /// A process's clock starts anew with it. Jobs from before were taken to be as old as the process, so that
 /// their order was lost, and deadlines came and patience ended too late.
 #[test]
