--- a/src/controller.rs
+++ b/src/controller.rs
@@ -6,7 +6,7 @@
 use crate::intake::JobRecord;
 use crate::leadership::{self, Leadership};
 use crate::peers::{Answer, UserCall};
-use crate::reign::Reign;
+use crate::reign::{NO_WORKERS, Reign};
 use crate::settings::Settings;
 use crate::store::{Reply, StateCall};
 use crate::units::{MachineId, Span, Time, Token, Wall};
@@ -112,6 +112,8 @@
 const NO_STATE: Span = Span(1500);
 /// How often a leader tells the other nodes so.
 const ANNOUNCE_EVERY: Span = Span(1000);
+/// A node makes room for others no more often: if no node reaches the workers, they are gone.
+const MAKES_ROOM_EVERY: Span = Span(60_000);
 
 /// A node.
 pub struct Controller {
@@ -125,6 +127,8 @@
     ready: bool,
     reachable: Time,
     announced: Time,
+    /// When this node left the leadership to others last, because it reached no worker.
+    made_room: Option<Time>,
 }
 
 /// 503: come back after so many seconds.
@@ -148,6 +152,7 @@
             ready: false,
             reachable: Time(0),
             announced: Time(0),
+            made_room: None,
         }
     }
 
@@ -235,7 +240,12 @@
     fn check_reign(&mut self, now: Time, out: &mut Vec<Effect>) {
         if let Some(why) = self.reign.as_ref().and_then(Reign::over) {
             let mut events = Vec::new();
-            self.leadership.step_down(now, why, &mut events);
+            if why == NO_WORKERS {
+                self.made_room = Some(now);
+                self.leadership.make_room(now, why, &mut events);
+            } else {
+                self.leadership.step_down(now, why, &mut events);
+            }
             self.led(now, Wall(0), events, out);
         }
     }
@@ -272,8 +282,13 @@
         self.leadership.tick(now, &mut events);
         self.led(now, wall, events, out);
         let certain = self.leadership.certain(now);
+        let may_make_room =
+            certain && !self.links.is_empty() && self.made_room.is_none_or(|at| now.since(at) >= MAKES_ROOM_EVERY);
         if let Some(reign) = &mut self.reign {
             reign.tick(now, wall, certain, out);
+            if may_make_room {
+                reign.look_for_workers();
+            }
         }
         self.check_reign(now, out);
         if let Some(reign) = self.reign.as_ref().filter(|_| certain && now.since(self.announced) >= ANNOUNCE_EVERY) {
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -71,6 +71,8 @@
     /// The highest token of another node that was heard of.
     heard: Token,
     eager_until: Time,
+    /// Until then the key is left to the other nodes.
+    abstains_until: Time,
     /// When the state service answered last.
     pub answered: Option<Time>,
 }
@@ -78,6 +80,8 @@
 /// Clocks differ by 0.05 %, and a process may be late; this much of the lease is not relied on.
 const MARGIN: Span = Span(200);
 const CALL_TIMEOUT: Span = Span(1000);
+/// How long a node that made room leaves the key to the others.
+const ABSTAIN: Span = Span(10_000);
 
 impl Leadership {
     /// A node that has just started.
@@ -97,6 +101,7 @@
             known: None,
             heard: Token(0),
             eager_until: Time(0),
+            abstains_until: Time(0),
             answered: None,
         }
     }
@@ -191,6 +196,17 @@
         self.next = now + self.pause(50, 150);
     }
 
+    /// Makes room for another node, which most likely reaches what this one does not: the lease is ended, so
+    /// that nobody has to wait for it.
+    pub fn make_room(&mut self, now: Time, why: &'static str, out: &mut Vec<Event>) {
+        self.abstains_until = now + ABSTAIN;
+        if let Some((lease, _)) = self.lease {
+            self.calls += 1;
+            out.push(Event::Call(self.calls, StateCall::Revoke(lease)));
+        }
+        self.step_down(now, why, out);
+    }
+
     /// Takes an answer of the state service.
     pub fn reply(&mut self, now: Time, id: u64, reply: &Reply, out: &mut Vec<Event>) {
         let Some(call) = self.in_flight.filter(|c| c.id == id) else { return };
@@ -205,7 +221,11 @@
             },
             (Kind::Look, 404) => {
                 self.set_known(None, out);
-                self.campaign(now, 0, out);
+                if now < self.abstains_until {
+                    self.next = now + self.pause(200, 300);
+                } else {
+                    self.campaign(now, 0, out);
+                }
             }
             (Kind::Grant, 200) => match reply.parse::<LeaseAnswer>() {
                 Some(answer) => {
@@ -403,6 +423,21 @@
         assert_eq!(n.leader(), Some("n2"));
     }
 
+    #[test]
+    fn a_leader_that_makes_room_ends_its_lease_and_leaves_the_key_to_others() {
+        let (mut n, mut out) = (leader(), Vec::new());
+        n.make_room(Time(5), "no worker is reached", &mut out);
+        let revoked = Event::Call(n.calls, StateCall::Revoke(LeaseId(4)));
+        assert_eq!(out, [revoked, Event::SteppedDown("no worker is reached")]);
+        for (at, campaigns) in [(1000, false), (12_000, true)] {
+            out.clear();
+            n.tick(Time(at), &mut out);
+            let (id, _) = only_call(&mut out);
+            n.reply(Time(at), id, &answer(404, json!({"Ledger": 10})), &mut out);
+            assert_eq!(!out.is_empty(), campaigns, "{out:?}");
+        }
+    }
+
     #[test]
     fn an_outage_leaves_the_leader_in_doubt_and_a_lost_lease_ends_it() {
         let (mut n, mut out) = (leader(), Vec::new());
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -25,6 +25,8 @@
 const JOBS_PER_MB: f64 = 250.0;
 /// Executions between two records of what CorrecFAST has learnt.
 const LEARNT_EVERY: u64 = 20;
+/// Why a leader that reaches no worker gives up.
+pub const NO_WORKERS: &str = "no worker is reached";
 /// Facts that may wait to become durable.
 const BACKLOG_LIMIT: usize = 5000;
 
@@ -77,6 +79,12 @@
     pub(crate) scheduled: Time,
     pub(crate) demanded: Time,
     watched: Time,
+    ticked: Time,
+    /// How long nothing of ours has reached any worker, counted in ticks, so that a process that stood still
+    /// does not take its own absence for silence.
+    unheard: Span,
+    /// Whether anything has reached a worker in this reign.
+    reaches: bool,
     over: Option<&'static str>,
 }
 
@@ -112,6 +120,9 @@
             scheduled: Time(0),
             demanded: Time(0),
             watched: now,
+            ticked: now,
+            unheard: Span(0),
+            reaches: false,
             over: None,
             settings: settings.clone(),
         }
@@ -477,6 +488,7 @@
             return;
         }
         self.message(now, id, report);
+        self.heard_of(now, id);
         self.enrol(certain, id);
         if self.machines.get(&id).is_some_and(|m| !m.fenced) {
             self.wanting.insert(id);
@@ -493,6 +505,37 @@
         self.flush(now, out);
     }
 
+    /// Notes that this node reaches workers, if it does.
+    fn heard_of(&mut self, now: Time, id: MachineId) {
+        if self.machines.get(&id).is_some_and(|m| m.reached == now && m.fenced) {
+            self.unheard = Span(0);
+            self.reaches = true;
+        }
+    }
+
+    /// Ends the reign if this node reaches no worker, although it is not alone: cut off from the workers alone
+    /// it kept its key, while every lease ran out and every task was lost.
+    pub fn look_for_workers(&mut self) {
+        const FEW: usize = 4;
+        let times = &self.settings.deployment.workers;
+        let limit = if self.reaches {
+            // Each worker that has reported here reports again within this time; of many some do at once.
+            let back = self.machines.values().filter(|m| m.fenced && m.told.0 > workers::NO_SESSION).count();
+            if back < FEW {
+                return;
+            }
+            Span::secs((20.0 * times.report_s / back as f64).clamp(1.5, times.report_s * 1.25 + 0.5))
+        } else if self.machines.len() < FEW {
+            return;
+        } else {
+            // Two direct commands to each were not answered.
+            COMMAND_TIMEOUT + COMMAND_TIMEOUT + Span(500)
+        };
+        if self.unheard >= limit {
+            self.over = Some(NO_WORKERS);
+        }
+    }
+
     /// Enrols a machine that is new. Only one that has seen this token is surely there: the report of a
     /// machine that an earlier leader returned may come late.
     fn enrol(&mut self, certain: bool, id: MachineId) {
@@ -535,6 +578,7 @@
                 self.message(now, id, &report);
             }
         }
+        self.heard_of(now, id);
         self.enrol(certain, id);
         if answered && self.machines.get(&id).is_some_and(|m| !m.fenced) {
             self.wanting.insert(id);
@@ -756,9 +800,12 @@
         let mut events = Vec::new();
         self.records.tick(now, &mut events);
         self.recorded(now, wall, events, out);
+        let passed = now.since(self.ticked).min(Span(200));
+        self.ticked = now;
         if !self.loaded() {
             return;
         }
+        self.unheard = self.unheard + passed;
         if self.records.wants_snapshot() {
             let mut facts: Vec<Record> = self
                 .machines
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -93,6 +93,7 @@
             StateCall::Txn(txn) => (Method::POST, "/txn".into(), Some(json(&txn))),
             StateCall::Grant(ttl) => (Method::POST, "/leases".into(), Some(json(&LeaseRequest { ttl_ms: ttl.0 }))),
             StateCall::Renew(lease) => (Method::POST, format!("/leases/{lease}/extend"), Some(b"{}".to_vec())),
+            StateCall::Revoke(lease) => (Method::DELETE, format!("/leases/{lease}"), None),
         };
         let to = self.state.to_string();
         self.send(&self.http, &to, what, patience, move |reply| Input::State(slot, id, reply));
--- a/src/store.rs
+++ b/src/store.rs
@@ -23,6 +23,8 @@
     Grant(Span),
     /// Renew a lease.
     Renew(LeaseId),
+    /// End a lease at once.
+    Revoke(LeaseId),
 }
 
 impl PartialEq for StateCall {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -10,6 +10,8 @@
 
 /// Most orders in one message: it must stay far below 64 KiB.
 const ORDERS_LIMIT: usize = 300;
+/// Before any message of a worker.
+pub const NO_SESSION: Session = Session(0);
 /// Ended attempts that a machine is left with: its reports must stay far below 64 KiB.
 const ENDED_LIMIT: usize = 200;
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -185,6 +185,13 @@
                 }
                 None => (404, json!({})),
             },
+            StateCall::Revoke(lease) => {
+                if let Some((_, end)) = self.leases.get_mut(&lease.0) {
+                    *end = now;
+                }
+                self.expire(now);
+                (200, json!({}))
+            }
             StateCall::Txn(txn) => self.txn(txn),
         }
     }
@@ -329,6 +336,8 @@
     pub deaf: BTreeSet<u64>,
     /// Nodes without state service and other nodes, but with their workers and users.
     pub cornered: BTreeSet<usize>,
+    /// Nodes that no worker reaches, nor they any worker.
+    pub apart: BTreeSet<usize>,
     /// Of a hundred reports so many come once more, up to so many milliseconds late.
     pub copies: (u64, u64),
     /// Of a hundred transactions and direct commands so many are carried out once more, up to so many
@@ -383,6 +392,7 @@
             hold_commands: BTreeSet::new(),
             deaf: BTreeSet::new(),
             cornered: BTreeSet::new(),
+            apart: BTreeSet::new(),
             copies: (0, 0),
             repeats: (0, 0),
             cut_zones: BTreeSet::new(),
@@ -479,6 +489,7 @@
         self.state.deaf.clear();
         self.copies = (0, 0);
         self.repeats = (0, 0);
+        self.apart.clear();
         self.uncorner();
         (0..self.site.nodes).for_each(|n| self.start(n));
         let machines: Vec<u64> = self.workers.keys().copied().collect();
@@ -1186,7 +1197,7 @@
                     let event = Event::Command { node, epoch, token, machine, id, body };
                     return self.held.entry(machine).or_default().push(event);
                 }
-                if !w.alive || !w.up {
+                if !w.alive || !w.up || self.apart.contains(&node) {
                     return;
                 }
                 let status = self.commanded(machine, &body);
@@ -1213,6 +1224,9 @@
                     return self.held.entry(machine).or_default().push(Event::Report(machine, number, report));
                 }
                 let node = (number % self.count()) as usize;
+                if self.apart.contains(&node) {
+                    return; // the worker waits for its answer in vain
+                }
                 if self.nodes[node].is_none() {
                     self.askers.remove(&number);
                     return self.worker_failed(machine, number);
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -93,6 +93,11 @@
                 let late: u64 = seconds.parse().expect("seconds");
                 sim.repeats = (percent.parse().expect("a share"), late * 1000);
             }
+            ("lose-workers", ["leader"]) => {
+                let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
+                sim.apart.insert(leader);
+                names.insert("crashed".into(), leader as u64);
+            }
             ("corner", ["leader"]) => {
                 let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
                 sim.corner(leader);
@@ -226,6 +231,7 @@
     late_copies,
     late_repeats,
     leader_in_its_corner,
+    leader_without_workers,
     outage_then_all_nodes_lost,
     quiet_day,
     room_for_a_service,
