--- a/src/reign.rs
+++ b/src/reign.rs
@@ -30,6 +30,18 @@
 /// Facts that may wait to become durable.
 const BACKLOG_LIMIT: usize = 5000;
 
+/// So long the machines of a zone that is cut off are kept.
+const KEEP_ZONE: Span = Span(60_000);
+
+/// A zone in which most machines fell silent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LostZone {
+    /// Since when.
+    pub since: Time,
+    /// When that was seen last.
+    pub seen: Time,
+}
+
 /// A user who waits for a commit.
 #[derive(Debug, Clone, Copy)]
 struct Waiter {
@@ -55,8 +67,8 @@
     pub(crate) wanting: BTreeSet<MachineId>,
     /// Machines that the cloud takes back.
     pub(crate) noticed: BTreeSet<MachineId>,
-    /// Zones in which most machines fell silent, and when that was seen last.
-    pub(crate) lost_zones: HashMap<String, Time>,
+    /// Zones in which most machines fell silent.
+    pub(crate) lost_zones: HashMap<String, LostZone>,
     /// Zones in which no machine is up while others have several.
     pub(crate) empty_zones: BTreeSet<String>,
     /// Those of them where machines fell silent or do not come up.
@@ -580,7 +592,8 @@
         }
         self.heard_of(now, id);
         self.enrol(certain, id);
-        if answered && self.machines.get(&id).is_some_and(|m| !m.fenced) {
+        if answered {
+            // Orders may have come in the meantime, or it is not fenced yet.
             self.wanting.insert(id);
         }
         self.maybe_schedule(now, wall, certain, out);
@@ -829,7 +842,7 @@
         }
         if now.since(self.watched) >= Span(250) {
             self.watched = now;
-            self.watch(now, certain);
+            self.watch(now, certain, out);
         }
         for waiters in [&mut self.accepting, &mut self.cancelling] {
             for list in waiters.values_mut() {
@@ -852,45 +865,36 @@
     }
 
     /// Looks after silent, late and drained machines.
-    fn watch(&mut self, now: Time, certain: bool) {
+    fn watch(&mut self, now: Time, certain: bool, out: &mut Vec<Effect>) {
         let times = &self.settings.deployment.workers;
         let overdue = Span::secs(times.report_s * 1.25 + 0.5);
         let patience = Span::secs(times.report_s * 1.25 + 1.5);
         // A worker's clock may run slow by as much as ours runs fast, and a process may be late.
         let lease_over = Span::secs(times.lease_s * 1.002 + 1.5);
         let unreached = |m: &Machine| now.since(m.reached) >= overdue;
-        let quiet = self.machines.values().filter(|m| unreached(m)).count();
-        // If most machines are out of reach at once, it is this node that is cut off.
-        let cut_off = quiet > 3 && quiet * 2 > self.machines.len();
-        if quiet > 3 && !cut_off {
-            let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
-            for m in self.machines.values() {
-                let (all, out_of_reach) = zones.entry(&m.record.zone).or_default();
-                *all += 1;
-                *out_of_reach += usize::from(unreached(m));
-            }
-            for (zone, (all, out_of_reach)) in zones {
-                if out_of_reach > 3 && out_of_reach * 2 > all {
-                    let known = self.lost_zones.insert(zone.to_string(), now);
-                    if known.is_none_or(|at| now.since(at) > Span(5000)) {
-                        warn!("zone {zone} is out of reach: {out_of_reach} of {all} machines");
-                    }
-                }
-            }
-        }
+        // If most machines are out of reach at once, and not because of a zone, it is this node that is cut off.
+        let cut_off = self.look_for_zones(now, &unreached);
+        let unfenced_zones = self.unfenced_zones();
         let mut events = Vec::new();
         let mut give_back: Vec<(MachineId, &'static str)> = Vec::new();
+        let mut probes: Vec<(Time, MachineId)> = Vec::new();
+        let mut probing = 0;
         for (id, m) in &mut self.machines {
             if let Some(flight) = m.flight
                 && now.since(flight.sent) > COMMAND_TIMEOUT + Span(500)
             {
                 m.command_over(now, flight.id, false);
             }
-            if unreached(m) {
-                self.changed.insert(*id);
+            if unreached(m) || m.unanswered > 0 {
+                probing += usize::from(m.flight.is_some());
                 if m.flight.is_none() && now.since(m.probed) >= Span(800) {
-                    self.wanting.insert(*id);
+                    probes.push((m.probed, *id));
                 }
+            }
+            // One that does not answer a new leader, while the others of its zone do, holds older jobs back.
+            let alone = !m.fenced && !unfenced_zones.contains(&m.record.zone);
+            if unreached(m) || alone {
+                self.changed.insert(*id);
                 // A machine that takes nothing in renews no lease, whatever it reports; but that an
                 // answer did not reach it cannot be known, so the lease counts from the last one given.
                 if m.fenced && now.since(m.answered) >= lease_over && !m.holds.is_empty() {
@@ -900,10 +904,17 @@
                     events.push((*id, lost));
                 }
                 // A machine that takes nothing in is most likely dead, or its network is; its services
-                // wait for this verdict.
-                let limit = if cut_off { lease_over } else { patience };
-                if now.since(m.reached) >= limit && m.unanswered >= 2 {
-                    let silent = now.since(m.heard) >= overdue;
+                // wait for this verdict. In a zone that is cut off as a whole tasks go on until their leases
+                // end, and its machines are there again after the cut: they are kept for a while.
+                let zone = self.lost_zones.get(&m.record.zone);
+                let cut = m.fenced && zone.is_some_and(|z| now.since(z.since) < KEEP_ZONE);
+                let limit = match (alone, cut_off || cut) {
+                    (true, _) => COMMAND_TIMEOUT + COMMAND_TIMEOUT,
+                    (false, true) => lease_over,
+                    (false, false) => patience,
+                };
+                if now.since(m.reached) >= limit && m.unanswered >= 2 && !cut {
+                    let silent = now.since(m.heard) >= overdue || !m.fenced;
                     give_back.push((*id, if silent { "silent" } else { "takes nothing in" }));
                 }
             }
@@ -930,6 +941,58 @@
             }
             self.fleet.give_up_on_late(now);
         }
+        // What does not answer gets no more than half of the commands: when many machines fell silent together,
+        // the others' starts waited behind theirs.
+        probes.sort_unstable();
+        let most = self.settings.deployment.resources.commands_at_once();
+        for (_, id) in probes.into_iter().take((most / 2).saturating_sub(probing)) {
+            if self.flights < most {
+                self.command(now, id, true, out);
+            }
+        }
+    }
+
+    /// Zones most of whose machines have not answered this leader yet.
+    fn unfenced_zones(&self) -> BTreeSet<String> {
+        let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
+        if self.machines.values().any(|m| !m.fenced) {
+            for m in self.machines.values() {
+                let (all, unfenced) = zones.entry(&m.record.zone).or_default();
+                *all += 1;
+                *unfenced += usize::from(!m.fenced);
+            }
+        }
+        zones.into_iter().filter(|(_, (all, unfenced))| unfenced * 2 > *all).map(|(z, _)| z.to_string()).collect()
+    }
+
+    /// Notes zones most of whose machines are out of reach while those of others are not; true if those of
+    /// all zones are. A machine is out of reach only if it did not answer: after an election workers that wait
+    /// for a leader that stands still do not report for long.
+    fn look_for_zones(&mut self, now: Time, unreached: &dyn Fn(&Machine) -> bool) -> bool {
+        let quiet = |m: &Machine| unreached(m) && m.unanswered > 0;
+        if self.machines.values().filter(|m| quiet(m)).count() <= 3 {
+            return false;
+        }
+        let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
+        for m in self.machines.values() {
+            let (all, out_of_reach) = zones.entry(&m.record.zone).or_default();
+            *all += 1;
+            *out_of_reach += usize::from(quiet(m));
+        }
+        let known = zones.len();
+        zones.retain(|_, (all, out_of_reach)| *out_of_reach > 3 && *out_of_reach * 2 > *all);
+        if zones.len() == known {
+            return true;
+        }
+        for (zone, (all, out_of_reach)) in zones {
+            let seen = self.lost_zones.get(zone).filter(|z| now.since(z.seen) < Span(5000));
+            if seen.is_none() {
+                warn!("zone {zone} is out of reach: {out_of_reach} of {all} machines");
+            }
+            let since = seen.map_or(now, |z| z.since);
+            self.lost_zones.insert(zone.to_string(), LostZone { since, seen: now });
+        }
+        false
     }
 
     /// Sends what is to be sent at once: direct commands and due commits.
@@ -941,34 +1004,37 @@
                 out.push(Effect::State(Slot::Records(self.token.0), id, call));
             }
         }
-        for id in std::mem::take(&mut self.wanting) {
-            let Some(machine) = self.machines.get_mut(&id) else { continue };
-            // One command at a time to each, and not more at once than there are sockets for them. What
-            // does not answer is not tried again and again.
-            if machine.flight.is_some()
-                || self.flights >= self.settings.deployment.resources.commands_at_once()
-                || (now.since(machine.reached) > Span(2000) && now.since(machine.probed) < Span(500))
-            {
-                self.wanting.insert(id);
-                continue;
-            }
-            self.commands += 1;
-            let command = self.commands;
-            let orders = if machine.fenced { machine.direct_orders(command) } else { Vec::new() };
-            if orders.is_empty() && machine.fenced && now.since(machine.reached) < Span(2000) {
-                continue;
-            }
-            self.flights += 1;
-            machine.probed = now;
-            machine.flight = Some(Flight { id: command, sent: now });
-            out.push(Effect::Command {
-                token: self.token.0,
-                machine: id,
-                endpoint: machine.record.endpoint.clone(),
-                id: command,
-                body: Commands { token: self.token.0, session: machine.session.0, orders },
-            });
+        let most = self.settings.deployment.resources.commands_at_once();
+        while self.flights < most
+            && let Some(id) = self.wanting.pop_first()
+        {
+            self.command(now, id, false, out);
+        }
+    }
+
+    /// Sends a direct command to a machine, one at a time to each. What does not answer is not tried again and
+    /// again: `watch` does so from time to time.
+    fn command(&mut self, now: Time, id: MachineId, probe: bool, out: &mut Vec<Effect>) {
+        let Some(machine) = self.machines.get_mut(&id) else { return };
+        if machine.flight.is_some() || (machine.unanswered > 0 && !probe) {
+            return;
         }
+        self.commands += 1;
+        let command = self.commands;
+        let orders = if machine.fenced { machine.direct_orders(command) } else { Vec::new() };
+        if orders.is_empty() && machine.fenced && !probe {
+            return;
+        }
+        self.flights += 1;
+        machine.probed = now;
+        machine.flight = Some(Flight { id: command, sent: now });
+        out.push(Effect::Command {
+            token: self.token.0,
+            machine: id,
+            endpoint: machine.record.endpoint.clone(),
+            id: command,
+            body: Commands { token: self.token.0, session: machine.session.0, orders },
+        });
     }
 }
 
--- a/src/renting.rs
+++ b/src/renting.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{self, Demand, Place};
 use crate::intake::{self, Job};
 use crate::plan::Order;
-use crate::reign::Reign;
+use crate::reign::{LostZone, Reign};
 use crate::scheduling::order_of;
 use crate::settings::Objective;
 use crate::units::{JobId, MachineId, Room, Span, Time, Wall};
@@ -126,6 +126,7 @@
                 there += job.record.need.times_in(&room);
             }
         }
+        let wanted = wanted + self.stranded();
         Some(Demand {
             job: job.record.id,
             need: job.record.need,
@@ -138,6 +139,26 @@
         })
     }
 
+    /// Replicas in zones that are cut off and may run elsewhere. They go on until their leases end; room for
+    /// them should be up by then.
+    fn stranded(&self) -> u64 {
+        let mut jobs: HashMap<JobId, u32> = HashMap::new();
+        for m in self.machines.values().filter(|m| m.unanswered > 0 && self.lost_zones.contains_key(&m.record.zone)) {
+            for hold in m.holds.values().filter(|h| h.claimed && h.predicted.is_none() && h.occupies()) {
+                *jobs.entry(hold.task.job).or_default() += 1;
+            }
+        }
+        let parts = self.parts();
+        let zones: BTreeSet<&String> = self.fleet.flavors().into_iter().flatten().flat_map(|f| &f.zones).collect();
+        let elsewhere = |job: &Job| -> u32 {
+            let there = parts.by_zone(job);
+            let open = zones.iter().filter(|z| !self.lost_zones.contains_key(z.as_str()));
+            let placed = |zone: &str| self.names.zone(zone).and_then(|z| there.get(&z).copied()).unwrap_or(0);
+            open.map(|z| job.record.zone_cap().saturating_sub(placed(z))).fold(0, u32::saturating_add)
+        };
+        jobs.iter().filter_map(|(id, lost)| Some(u64::from(elsewhere(self.book.get(*id)?).min(*lost)))).sum()
+    }
+
     /// Whether ordinary machines may be rented for a task that could wait for a spot machine: several
     /// times as dear, they are for what would else miss an aim that nearly all must meet, and for what
     /// has waited very long.
@@ -237,7 +258,7 @@
 
     /// Whether most machines of a zone were seen silent, or not coming up, so lately.
     fn lost_within(&self, zone: &str, now: Time, span: Span) -> bool {
-        self.lost_zones.get(zone).is_some_and(|at| now.since(*at) < span)
+        self.lost_zones.get(zone).is_some_and(|z| now.since(z.seen) < span)
     }
 
     /// Whether a machine is on its way in a zone.
@@ -266,7 +287,8 @@
         for (_, b) in self.fleet.booting().filter(|(_, b)| empty.contains(&b.zone)) {
             let boot = self.fleet.flavor(&b.kind).map_or(60.0, |f| f.boot_s);
             if now.since(b.since) > Span::secs(boot * 1.6 + 3.0) {
-                self.lost_zones.insert(b.zone.clone(), now);
+                let lost = self.lost_zones.entry(b.zone.clone()).or_insert(LostZone { since: now, seen: now });
+                lost.seen = now;
             }
         }
         let lost = |zone: &&String| self.lost_within(zone, now, REMEMBERED);
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -25,7 +25,7 @@
 /// All clients, with pooled connections.
 pub struct Clients {
     http: Client<HttpConnector, Full<Bytes>>,
-    /// Apart: a thousand workers' idle connections would use the sockets up.
+    /// Apart: one connection for each command.
     workers: Client<HttpConnector, Full<Bytes>>,
     state: SocketAddrV4,
     cloud: SocketAddrV4,
@@ -46,7 +46,9 @@
                 .build(connector.clone())
         };
         let http = client(Duration::from_secs(30), 4);
-        let workers = client(Duration::from_secs(2), 1);
+        // Not kept: after an election commands go to all machines at once, and their idle connections took up to
+        // all sockets that were left.
+        let workers = client(Duration::from_secs(2), 0);
         Clients { http, workers, state: settings.external.state, cloud: settings.external.cloud, tell }
     }
 
