--- a/src/controller.rs
+++ b/src/controller.rs
@@ -13,7 +13,7 @@
 use crate::wire::{Commands, Report};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde_json::json;
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// Who waits for an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -112,6 +112,8 @@
 const NO_STATE: Span = Span(1500);
 /// How often a leader tells the other nodes so.
 const ANNOUNCE_EVERY: Span = Span(1000);
+/// A node that led so lately may still answer the workers of a zone that is cut off.
+const LED_LATELY: Span = Span(90_000);
 /// A node makes room for others no more often: if no node reaches the workers, they are gone.
 const MAKES_ROOM_EVERY: Span = Span(60_000);
 
@@ -127,6 +129,8 @@
     ready: bool,
     reachable: Time,
     announced: Time,
+    /// When each node was known to lead last.
+    led: HashMap<String, Time>,
     /// When this node left the leadership to others last, because it reached no worker.
     made_room: Option<Time>,
 }
@@ -152,6 +156,7 @@
             ready: false,
             reachable: Time(0),
             announced: Time(0),
+            led: HashMap::new(),
             made_room: None,
         }
     }
@@ -284,7 +289,13 @@
         let certain = self.leadership.certain(now);
         let may_make_room =
             certain && !self.links.is_empty() && self.made_room.is_none_or(|at| now.since(at) >= MAKES_ROOM_EVERY);
+        if let Some(leader) = self.leadership.leader() {
+            self.led.insert(leader.to_string(), now);
+        }
         if let Some(reign) = &mut self.reign {
+            let unlinked = self.settings.seeds.iter().filter(|s| !self.links.contains(&s.node));
+            let lately = unlinked.filter(|s| self.led.get(&s.node).is_some_and(|at| now.since(*at) < LED_LATELY));
+            reign.led_from_within = lately.map(|s| s.area.clone()).collect();
             reign.tick(now, wall, certain, out);
             if may_make_room {
                 reign.look_for_workers();
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -67,6 +67,9 @@
     pub(crate) wanting: BTreeSet<MachineId>,
     /// Machines that the cloud takes back.
     pub(crate) noticed: BTreeSet<MachineId>,
+    /// Zones that hold a node which led not long ago and is out of reach: if such a zone is cut off, that node
+    /// most likely keeps the leases of its machines alive.
+    pub(crate) led_from_within: BTreeSet<String>,
     /// Zones in which most machines fell silent.
     pub(crate) lost_zones: HashMap<String, LostZone>,
     /// Zones in which no machine is up while others have several.
@@ -116,6 +119,7 @@
             changed: BTreeSet::new(),
             wanting: BTreeSet::new(),
             noticed: BTreeSet::new(),
+            led_from_within: BTreeSet::new(),
             lost_zones: HashMap::new(),
             empty_zones: BTreeSet::new(),
             doubtful: BTreeSet::new(),
@@ -905,9 +909,14 @@
                 }
                 // A machine that takes nothing in is most likely dead, or its network is; its services
                 // wait for this verdict. In a zone that is cut off as a whole tasks go on until their leases
-                // end, and its machines are there again after the cut: they are kept for a while.
+                // end, and its machines are there again after the cut: they are kept for a while. A new leader
+                // does so only if an earlier one is in that zone, since it holds older jobs back meanwhile.
                 let zone = self.lost_zones.get(&m.record.zone);
-                let cut = m.fenced && zone.is_some_and(|z| now.since(z.since) < KEEP_ZONE);
+                let within = unfenced_zones.contains(&m.record.zone) && self.led_from_within.contains(&m.record.zone);
+                let cut = match m.fenced {
+                    true => zone.is_some_and(|z| now.since(z.since) < KEEP_ZONE),
+                    false => within && now.since(self.since) < KEEP_ZONE,
+                };
                 let limit = match (alone, cut_off || cut) {
                     (true, _) => COMMAND_TIMEOUT + COMMAND_TIMEOUT,
                     (false, true) => lease_over,
@@ -953,7 +962,7 @@
     }
 
     /// Zones most of whose machines have not answered this leader yet.
-    fn unfenced_zones(&self) -> BTreeSet<String> {
+    pub(crate) fn unfenced_zones(&self) -> BTreeSet<String> {
         let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
         if self.machines.values().any(|m| !m.fenced) {
             for m in self.machines.values() {
--- a/src/renting.rs
+++ b/src/renting.rs
@@ -57,7 +57,7 @@
                 *counts.entry((order_of(job), job.record.id, long)).or_insert(0) += left;
             }
         }
-        let headroom = self.headroom(boot);
+        let headroom = self.headroom(now, boot);
         counts
             .into_iter()
             .filter_map(|((_, id, long), count)| {
@@ -115,7 +115,7 @@
 
     /// Ordinary machines for services that are likely to come before a machine rented for them
     /// would be up: without room, even that of lower tasks, they would wait for the boot.
-    fn headroom(&self, boot: Span) -> Option<Demand> {
+    fn headroom(&self, now: Time, boot: Span) -> Option<Demand> {
         let (job, wanted) = self.expected_services(boot.as_secs())?;
         let profile = self.parts().profile_of(job);
         let mut there = 0;
@@ -126,7 +126,7 @@
                 there += job.record.need.times_in(&room);
             }
         }
-        let wanted = wanted + self.stranded();
+        let wanted = wanted + self.stranded() + self.held_back(now);
         Some(Demand {
             job: job.record.id,
             need: job.record.need,
@@ -139,6 +139,17 @@
         })
     }
 
+    /// Replicas that a new leader holds back because a zone does not answer: they are most likely lost with it, and
+    /// the machines for them should be up when that is sure.
+    fn held_back(&self, now: Time) -> u64 {
+        let lost = self.unfenced_zones();
+        if self.open() || now.since(self.since) < Span(3000) || lost.iter().all(|z| self.led_from_within.contains(z)) {
+            return 0;
+        }
+        let services = self.book.live().filter(|j| j.record.service && j.durable && !j.ours && !j.cancelling);
+        services.map(|j| u64::from(j.pending.len().min(j.record.zone_cap()))).sum()
+    }
+
     /// Replicas in zones that are cut off and may run elsewhere. They go on until their leases end; room for
     /// them should be up by then.
     fn stranded(&self) -> u64 {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -60,6 +60,9 @@
 pub struct Seed {
     /// Name.
     pub node: String,
+    /// Its zone.
+    #[serde(default)]
+    pub area: String,
     /// Peer address.
     pub address: SocketAddrV4,
 }
