--- a/src/reign.rs
+++ b/src/reign.rs
@@ -33,6 +33,11 @@
 /// So long the machines of a zone that is cut off are kept.
 const KEEP_ZONE: Span = Span(60_000);
 
+/// A zone that was not seen to be out of reach for so long is back.
+const ZONE_IS_BACK: Span = Span(3000);
+/// Fewer machines say nothing of a zone, or of this node.
+const FEW: usize = 4;
+
 /// A zone in which most machines fell silent.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LostZone {
@@ -532,15 +537,13 @@
     /// Ends the reign if this node reaches no worker, although it is not alone: cut off from the workers alone
     /// it kept its key, while every lease ran out and every task was lost.
     pub fn look_for_workers(&mut self) {
-        const FEW: usize = 4;
-        let times = &self.settings.deployment.workers;
         let limit = if self.reaches {
             // Each worker that comes here regularly does so again within this time; of many some do at once.
             let back = self.machines.values().filter(|m| m.regular).count();
             if back < FEW {
                 return;
             }
-            Span::secs((20.0 * times.report_s / back as f64).clamp(1.5, times.report_s * 1.25 + 0.5))
+            self.settings.deployment.workers.silence(back)
         } else if self.machines.len() < FEW {
             return;
         } else {
@@ -911,7 +914,7 @@
                 // wait for this verdict. In a zone that is cut off as a whole tasks go on until their leases
                 // end, and its machines are there again after the cut: they are kept for a while. A new leader
                 // does so only if an earlier one is in that zone, since it holds older jobs back meanwhile.
-                let zone = self.lost_zones.get(&m.record.zone);
+                let zone = self.lost_zones.get(&m.record.zone).filter(|z| now.since(z.seen) < ZONE_IS_BACK);
                 let within = unfenced_zones.contains(&m.record.zone) && self.led_from_within.contains(&m.record.zone);
                 let cut = match m.fenced {
                     true => zone.is_some_and(|z| now.since(z.since) < KEEP_ZONE),
@@ -974,36 +977,57 @@
         zones.into_iter().filter(|(_, (all, unfenced))| unfenced * 2 > *all).map(|(z, _)| z.to_string()).collect()
     }
 
-    /// Notes zones most of whose machines are out of reach while those of others are not; true if those of
-    /// all zones are. A machine is out of reach only if it did not answer: after an election workers that wait
-    /// for a leader that stands still do not report for long.
+    /// Notes zones that are out of reach while others are not; true if all zones are.
+    ///
+    /// Either nothing has reached any machine of a zone for so long that many would have come back, or most of its
+    /// machines are out of reach one by one. The first is sure within seconds; without it half of the zone was
+    /// returned as silent before the second was. A machine is out of reach only if it did not answer: after an
+    /// election workers that wait for a leader that stands still do not report for long.
     fn look_for_zones(&mut self, now: Time, unreached: &dyn Fn(&Machine) -> bool) -> bool {
-        let quiet = |m: &Machine| unreached(m) && m.unanswered > 0;
-        if self.machines.values().filter(|m| quiet(m)).count() <= 3 {
-            return false;
-        }
-        let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
-        for m in self.machines.values() {
-            let (all, out_of_reach) = zones.entry(&m.record.zone).or_default();
-            *all += 1;
-            *out_of_reach += usize::from(quiet(m));
+        #[derive(Default)]
+        struct Seen {
+            all: usize,
+            regular: usize,
+            out_of_reach: usize,
+            last: Time,
+        }
+        let mut zones: HashMap<&str, Seen> = HashMap::new();
+        for m in self.machines.values().filter(|m| m.fenced) {
+            let zone = zones.entry(&m.record.zone).or_default();
+            zone.all += 1;
+            zone.regular += usize::from(m.regular);
+            zone.out_of_reach += usize::from(unreached(m) && m.unanswered > 0);
+            zone.last = zone.last.max(m.reached);
         }
         let known = zones.len();
-        zones.retain(|_, (all, out_of_reach)| *out_of_reach > 3 && *out_of_reach * 2 > *all);
+        let times = &self.settings.deployment.workers;
+        let latest = zones.values().map(|z| z.last).max().unwrap_or_default();
+        zones.retain(|_, z| {
+            let silent = z.regular >= FEW && latest.since(z.last) >= times.silence(z.regular);
+            silent || (z.out_of_reach > 3 && z.out_of_reach * 2 > z.all)
+        });
         if zones.len() == known {
-            return true;
-        }
-        for (zone, (all, out_of_reach)) in zones {
-            let seen = self.lost_zones.get(zone).filter(|z| now.since(z.seen) < Span(5000));
-            if seen.is_none() {
-                warn!("zone {zone} is out of reach: {out_of_reach} of {all} machines");
+            return known > 0;
+        }
+        for (zone, seen) in zones {
+            let before = self.lost_zones.get(zone).filter(|z| now.since(z.seen) < ZONE_IS_BACK);
+            if before.is_none() {
+                warn!(
+                    "zone {zone} is out of reach: {} machines, {} of them did not answer",
+                    seen.all, seen.out_of_reach
+                );
             }
-            let since = seen.map_or(now, |z| z.since);
+            let since = before.map_or(now, |z| z.since);
             self.lost_zones.insert(zone.to_string(), LostZone { since, seen: now });
         }
         false
     }
 
+    /// Whether a zone is out of reach now, and since when.
+    pub(crate) fn lost_since(&self, zone: &str, now: Time) -> Option<Time> {
+        self.lost_zones.get(zone).filter(|z| now.since(z.seen) < ZONE_IS_BACK).map(|z| z.since)
+    }
+
     /// Sends what is to be sent at once: direct commands and due commits.
     pub(crate) fn flush(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut events = Vec::new();
--- a/src/renting.rs
+++ b/src/renting.rs
@@ -126,7 +126,7 @@
                 there += job.record.need.times_in(&room);
             }
         }
-        let wanted = wanted + self.stranded() + self.held_back(now);
+        let wanted = wanted + self.stranded(now) + self.held_back(now);
         Some(Demand {
             job: job.record.id,
             need: job.record.need,
@@ -152,9 +152,9 @@
 
     /// Replicas in zones that are cut off and may run elsewhere. They go on until their leases end; room for
     /// them should be up by then.
-    fn stranded(&self) -> u64 {
+    fn stranded(&self, now: Time) -> u64 {
         let mut jobs: HashMap<JobId, u32> = HashMap::new();
-        for m in self.machines.values().filter(|m| m.unanswered > 0 && self.lost_zones.contains_key(&m.record.zone)) {
+        for m in self.machines.values().filter(|m| self.lost_since(&m.record.zone, now).is_some()) {
             for hold in m.holds.values().filter(|h| h.claimed && h.predicted.is_none() && h.occupies()) {
                 *jobs.entry(hold.task.job).or_default() += 1;
             }
@@ -163,7 +163,7 @@
         let zones: BTreeSet<&String> = self.fleet.flavors().into_iter().flatten().flat_map(|f| &f.zones).collect();
         let elsewhere = |job: &Job| -> u32 {
             let there = parts.by_zone(job);
-            let open = zones.iter().filter(|z| !self.lost_zones.contains_key(z.as_str()));
+            let open = zones.iter().filter(|z| self.lost_since(z, now).is_none());
             let placed = |zone: &str| self.names.zone(zone).and_then(|z| there.get(&z).copied()).unwrap_or(0);
             open.map(|z| job.record.zone_cap().saturating_sub(placed(z))).fold(0, u32::saturating_add)
         };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -190,6 +190,13 @@
         Span::secs(self.report_s * 2.0 + 2.0)
     }
 
+    /// When so many workers that report regularly are silent for so long, it is not by chance: each reports
+    /// within the longest interval, and of many some do in a small part of it.
+    pub fn silence(&self, workers: usize) -> Span {
+        let gaps = 20.0 * self.report_s / workers.max(1) as f64;
+        Span::secs(gaps.clamp(1.5, (self.report_s * 1.25 + 0.5).max(1.5)))
+    }
+
     /// A copy of a message may come well over a lease late; after this time none is expected any more.
     pub fn copies_over(&self) -> Span {
         Span::secs(self.lease_s * 2.0)
