--- a/src/controller.rs
+++ b/src/controller.rs
@@ -7,7 +7,7 @@
 use crate::leadership::{self, Leadership};
 use crate::peers::{Answer, UserCall};
 use crate::reign::{NO_WORKERS, Reign};
-use crate::settings::Settings;
+use crate::settings::{Seed, Settings};
 use crate::store::{Reply, StateCall};
 use crate::units::{MachineId, Span, Time, Token, Wall};
 use crate::wire::{Commands, Report};
@@ -293,9 +293,8 @@
             self.led.insert(leader.to_string(), now);
         }
         if let Some(reign) = &mut self.reign {
-            let unlinked = self.settings.seeds.iter().filter(|s| !self.links.contains(&s.node));
-            let lately = unlinked.filter(|s| self.led.get(&s.node).is_some_and(|at| now.since(*at) < LED_LATELY));
-            reign.led_from_within = lately.map(|s| s.area.clone()).collect();
+            let lately = |s: &&Seed| self.led.get(&s.node).is_some_and(|at| now.since(*at) < LED_LATELY);
+            reign.led_from_within = self.settings.seeds.iter().filter(lately).map(|s| s.area.clone()).collect();
             reign.tick(now, wall, certain, out);
             if may_make_room {
                 reign.look_for_workers();
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -72,8 +72,8 @@
     pub(crate) wanting: BTreeSet<MachineId>,
     /// Machines that the cloud takes back.
     pub(crate) noticed: BTreeSet<MachineId>,
-    /// Zones that hold a node which led not long ago and is out of reach: if such a zone is cut off, that node
-    /// most likely keeps the leases of its machines alive.
+    /// Zones of the nodes that led not long ago: if such a zone is cut off, that node most likely keeps the
+    /// leases of its machines alive.
     pub(crate) led_from_within: BTreeSet<String>,
     /// Zones in which most machines fell silent.
     pub(crate) lost_zones: HashMap<String, LostZone>,
@@ -903,8 +903,10 @@
             if unreached(m) || alone {
                 self.changed.insert(*id);
                 // A machine that takes nothing in renews no lease, whatever it reports; but that an
-                // answer did not reach it cannot be known, so the lease counts from the last one given.
-                if m.fenced && now.since(m.answered) >= lease_over && !m.holds.is_empty() {
+                // answer did not reach it cannot be known, so the lease counts from the last one given. A leader in
+                // doubt cannot know at all: cut off with its own zone it took the others' leases for over, which
+                // the next leader went on renewing, and started their tasks a second time.
+                if certain && m.fenced && now.since(m.answered) >= lease_over && !m.holds.is_empty() {
                     info!("lease over machine={id}");
                     let mut lost = Vec::new();
                     m.drop_holds(&mut lost);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -86,10 +86,16 @@
     format!("n{node}")
 }
 
+/// The zone that a node is in.
+pub fn zone_of(site: &Site, node: usize) -> &'static str {
+    site.zones[node % site.zones.len()]
+}
+
 pub fn settings(site: &Site, node: usize) -> Settings {
     let mut text = format!("node = \"{}\"\napi_addr = \"127.0.0.1:1\"\npeer_bind = \"127.0.0.1:2\"\n", name(node));
     for other in (0..site.nodes).filter(|n| *n != node) {
-        text += &format!("[[seeds]]\nnode = \"{}\"\naddress = \"127.0.0.1:3\"\n", name(other));
+        let area = zone_of(site, other);
+        text += &format!("[[seeds]]\nnode = \"{}\"\narea = \"{area}\"\naddress = \"127.0.0.1:3\"\n", name(other));
     }
     let secs = |ms: u64| ms as f64 / 1000.0;
     text += &format!(
@@ -338,6 +344,8 @@
     pub cornered: BTreeSet<usize>,
     /// Nodes that no worker reaches, nor they any worker.
     pub apart: BTreeSet<usize>,
+    /// A zone that is cut off with this node in it: they reach each other and nobody else.
+    pub island: Option<(String, usize)>,
     /// Of a hundred reports so many come once more, up to so many milliseconds late.
     pub copies: (u64, u64),
     /// Of a hundred transactions and direct commands so many are carried out once more, up to so many
@@ -393,6 +401,7 @@
             deaf: BTreeSet::new(),
             cornered: BTreeSet::new(),
             apart: BTreeSet::new(),
+            island: None,
             copies: (0, 0),
             repeats: (0, 0),
             cut_zones: BTreeSet::new(),
@@ -463,7 +472,25 @@
         }
     }
 
+    /// Cuts a zone off, with this node in it.
+    pub fn cut_off(&mut self, zone: &str, node: usize) {
+        if self.cornered.is_empty() {
+            self.corner(node);
+            self.island = Some((zone.to_string(), node));
+        }
+    }
+
+    /// Whether a node and a worker reach each other.
+    fn reaches(&self, node: usize, machine: u64) -> bool {
+        let within = |(zone, inside): &(String, usize)| {
+            let there = self.workers.get(&machine).is_some_and(|w| w.zone == *zone);
+            there == (*inside == node)
+        };
+        !self.apart.contains(&node) && self.island.as_ref().is_none_or(within)
+    }
+
     pub fn uncorner(&mut self) {
+        self.island = None;
         for node in std::mem::take(&mut self.cornered) {
             self.state.deaf.remove(&node);
             self.link(node, true, 30);
@@ -490,6 +517,7 @@
         self.copies = (0, 0);
         self.repeats = (0, 0);
         self.apart.clear();
+        self.island = None;
         self.uncorner();
         (0..self.site.nodes).for_each(|n| self.start(n));
         let machines: Vec<u64> = self.workers.keys().copied().collect();
@@ -1192,12 +1220,12 @@
                 self.after(50, Event::Input(node, epoch, Box::new(Input::Cloud(token, id, reply))));
             }
             Event::Command { node, epoch, token, machine, id, body } => {
-                let Some(w) = self.workers.get_mut(&machine) else { return };
+                let Some(w) = self.workers.get(&machine) else { return };
                 if w.cut || self.hold_commands.contains(&machine) || self.deaf.contains(&machine) {
                     let event = Event::Command { node, epoch, token, machine, id, body };
                     return self.held.entry(machine).or_default().push(event);
                 }
-                if !w.alive || !w.up || self.apart.contains(&node) {
+                if !w.alive || !w.up || !self.reaches(node, machine) {
                     return;
                 }
                 let status = self.commanded(machine, &body);
@@ -1224,7 +1252,7 @@
                     return self.held.entry(machine).or_default().push(Event::Report(machine, number, report));
                 }
                 let node = (number % self.count()) as usize;
-                if self.apart.contains(&node) {
+                if !self.reaches(node, machine) {
                     return; // the worker waits for its answer in vain
                 }
                 if self.nodes[node].is_none() {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -109,6 +109,13 @@
                 sim.corner(follower);
                 names.insert("cornered".into(), follower as u64);
             }
+            ("cut-off-zone", ["leader"]) => {
+                let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
+                let zone = support::zone_of(&sim.site, leader);
+                sim.cut_off(zone, leader);
+                names.insert("cornered".into(), leader as u64);
+                names.insert("crashed".into(), leader as u64);
+            }
             ("uncorner", []) => sim.uncorner(),
             ("bounce", ["leader", ms]) => {
                 let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
@@ -232,6 +239,7 @@
     late_repeats,
     leader_in_its_corner,
     leader_without_workers,
+    leader_within_a_zone_that_is_cut_off,
     outage_then_all_nodes_lost,
     quiet_day,
     room_for_a_service,
