--- a/src/reign.rs
+++ b/src/reign.rs
@@ -1003,6 +1003,12 @@
             zone.out_of_reach += usize::from(unreached(m) && m.unanswered > 0);
             zone.last = zone.last.max(m.reached);
         }
+        // A single machine that is reached again shows that the zone is back: without this nothing was rented there
+        // for 40 s more, and replicas that may run nowhere else waited.
+        let back = |zone: &String, lost: &LostZone| {
+            zones.get(zone.as_str()).is_some_and(|z| z.last.since(lost.seen) > Span(250))
+        };
+        self.lost_zones.retain(|zone, lost| !back(zone, lost));
         let known = zones.len();
         let times = &self.settings.deployment.workers;
         let latest = zones.values().map(|z| z.last).max().unwrap_or_default();
