Planning goes on where it stopped; nothing moves to, or is idle in, a zone that is cut off

Half a round now begins where the last one stopped, and what was looked at lately counts.

Tests: two_thousand_machines_lose_their_leader_and_a_zone, replicas_of_a_lost_zone_move_when_their_leases_end.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -280,6 +280,8 @@
     pub failures: u32,
     /// No task is started before, because of failures.
     pub not_before: Time,
+    /// When planning looked for machines for it last.
+    pub looked: Time,
 }
 
 impl Job {
@@ -402,6 +404,7 @@
             failed_on: Vec::new(),
             failures: 0,
             not_before: Time(0),
+            looked: Time(0),
             record: Rc::new(record),
         };
         self.live.insert(job.record.id, job);
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{self, Fleet};
 use crate::intake::{self, Applied, Final, JobBook, Refusal};
 use crate::peers::{Answer, UserCall};
-use crate::plan::{Correction, Order, Plans};
+use crate::plan::{Correction, Plans};
 use crate::records::{self, MachineRecord, Record, Records};
 use crate::scheduling::Names;
 use crate::settings::Settings;
@@ -81,12 +81,14 @@
     pub(crate) empty_zones: BTreeSet<String>,
     /// Those of them where machines fell silent or do not come up.
     pub(crate) doubtful: BTreeSet<String>,
-    /// Jobs from here on were not looked at in the last round of planning.
-    pub(crate) untried: Option<Order>,
+    /// Where the last round of planning stopped, if it did not get through.
+    pub(crate) stopped: Option<JobId>,
     /// Direct commands under way.
     flights: usize,
     /// Enrolled by an earlier leader and not known to have seen this token.
     unfenced: BTreeSet<MachineId>,
+    /// When an earlier leader's machine was fenced last.
+    wave: Time,
     opened: bool,
     attempts: u64,
     commands: u64,
@@ -128,9 +130,10 @@
             lost_zones: HashMap::new(),
             empty_zones: BTreeSet::new(),
             doubtful: BTreeSet::new(),
-            untried: None,
+            stopped: None,
             flights: 0,
             unfenced: BTreeSet::new(),
+            wave: now,
             opened: false,
             attempts: 0,
             commands: 0,
@@ -632,7 +635,9 @@
             match event {
                 workers::Event::Fenced => {
                     info!("fenced machine={id} token={}", self.token);
-                    self.unfenced.remove(&id);
+                    if self.unfenced.remove(&id) {
+                        self.wave = now;
+                    }
                 }
                 workers::Event::Image(image) => self.records.push(Record::Image(id, image)),
                 workers::Event::Found(attempt, task) => self.found(id, attempt, task),
@@ -900,8 +905,9 @@
                     probes.push((m.probed, *id));
                 }
             }
-            // One that does not answer a new leader, while the others of its zone do, holds older jobs back.
-            let alone = !m.fenced && !unfenced_zones.contains(&m.record.zone);
+            // One that does not answer a new leader, while the others of its zone did, holds older jobs back. While
+            // others still come in it may be this process that is late.
+            let alone = !m.fenced && !unfenced_zones.contains(&m.record.zone) && now.since(self.wave) >= Span(1000);
             if unreached(m) || alone {
                 self.changed.insert(*id);
                 // A machine that takes nothing in renews no lease, whatever it reports; but that an
--- a/src/renting.rs
+++ b/src/renting.rs
@@ -47,8 +47,9 @@
                 }
             }
         }
-        // What was not looked at in this round may find room yet.
-        let tried = |j: &&Job| self.untried.is_none_or(|from| order_of(j) < from);
+        // What was not looked at lately may find room yet.
+        const LATELY: Span = Span(5000);
+        let tried = |j: &&Job| now.since(j.looked) < LATELY;
         for job in self.book.waiting().filter(|j| self.startable(j, now)).filter(tried) {
             let left = job.pending.len().saturating_sub(self.plans.planned(job.record.id));
             if left > 0 {
@@ -335,7 +336,7 @@
         }
         let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(0.0, f64::max);
         let mut best: Option<(u64, MachineId)> = None;
-        for (id, m) in self.machines.iter().filter(|(_, m)| m.usable() && !m.record.spot) {
+        for (id, m) in self.machines.iter().filter(|(_, m)| m.usable() && !m.record.spot && self.in_reach(m)) {
             let settled = |h: &Hold| h.running_since.is_some_and(|r| now.since(r) > SETTLED) && h.stop.is_none();
             let (services, others): (Vec<&Hold>, Vec<&Hold>) =
                 m.holds.values().filter(|h| h.occupies()).partition(|h| h.predicted.is_none());
@@ -369,7 +370,8 @@
         let mut rooms: Vec<(&Machine, Room)> = self
             .machines
             .values()
-            .filter(|m| m.id() != from && m.usable() && !m.record.spot)
+            // One that is out of reach, as all are in a zone that is cut off, is no place to move to.
+            .filter(|m| m.id() != from && m.usable() && !m.record.spot && self.in_reach(m))
             .map(|m| (m, m.free()))
             .collect();
         // Full machines first, so that larger room stays together.
@@ -402,14 +404,20 @@
         left >= wanted
     }
 
+    /// Whether something of ours reached a machine lately.
+    fn in_reach(&self, machine: &Machine) -> bool {
+        self.scheduled.since(machine.reached) <= self.settings.deployment.workers.overdue()
+    }
+
     /// Gives back what has been idle: a machine costs a minimum that is better used than wasted.
     pub(crate) fn return_idle(&mut self, now: Time) {
         const MINIMUM_CHARGE: Span = Span(60_000);
+        let overdue = self.settings.deployment.workers.overdue();
         let mut idle = Vec::new();
         for (id, m) in &mut self.machines {
             let busy =
                 m.holds.values().any(Hold::occupies) || self.plans.server(*id).is_some_and(|s| !s.queue.is_empty());
-            if busy || !m.usable() {
+            if busy || !m.usable() || self.scheduled.since(m.reached) > overdue {
                 m.idle_since = None;
                 continue;
             }
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -379,9 +379,12 @@
         }
     }
 
-    /// Places what waits unplanned, most important first.
+    /// Places what waits unplanned, most important first, as far as a round goes.
+    ///
+    /// Half of a round begins with the most important job, the other half where the last round stopped. When all began
+    /// with the most important one, some services that found no room anywhere kept everything else from being
+    /// looked at, for as long as they waited.
     fn plan_waiting(&mut self, now: Time, used: &HashMap<String, Room>) {
-        self.untried = None;
         self.book.settle_waiting();
         let waiting: Vec<(JobId, u32)> = self
             .book
@@ -396,24 +399,43 @@
             .collect();
         // Like tasks that found no machine in this round are not tried one by one, nor larger ones.
         let mut hopeless: Vec<(Room, bool, bool)> = Vec::new();
-        let servers = self.plans.servers().count();
         let mut looks = 0;
-        for (id, left) in waiting {
-            let Some(job) = self.book.get(id) else { continue };
+        let top = self.plan_some(now, &waiting, LOOKS / 2, &mut looks, &mut hopeless);
+        let rest = &waiting[top..];
+        let from = self.stopped.take().and_then(|id| rest.iter().position(|(job, _)| *job == id)).unwrap_or(0);
+        let turned: Vec<(JobId, u32)> = rest[from..].iter().chain(&rest[..from]).copied().collect();
+        let done = self.plan_some(now, &turned, LOOKS, &mut looks, &mut hopeless);
+        if let Some((id, _)) = turned.get(done) {
+            // The rest is for the next round, so that reports and users are not kept waiting.
+            self.dirty = true;
+            self.stopped = Some(*id);
+        }
+    }
+
+    /// Places jobs in this order until so many machines were looked at; returns how many jobs had their turn.
+    fn plan_some(
+        &mut self,
+        now: Time,
+        waiting: &[(JobId, u32)],
+        most: usize,
+        looks: &mut usize,
+        hopeless: &mut Vec<(Room, bool, bool)>,
+    ) -> usize {
+        let servers = self.plans.servers().count();
+        for (turn, (id, left)) in waiting.iter().enumerate() {
+            if *looks >= most {
+                return turn;
+            }
+            let Some(job) = self.book.get_mut(*id) else { continue };
+            job.looked = now;
             let (need, spot, service) = (job.record.need, job.record.spot, job.record.service);
             let plain = job.record.types.is_none() && job.record.zone.is_none();
             if plain && hopeless.iter().any(|(n, p, s)| (*p, *s) == (spot, service) && n.fits(&need)) {
                 continue;
             }
-            if looks >= LOOKS {
-                // The rest is for the next round, so that reports and users are not kept waiting.
-                self.dirty = true;
-                self.untried = Some(order_of(job));
-                break;
-            }
-            looks += servers;
+            *looks += servers;
             let entry = entry_of(job);
-            let want = left.min(BATCH);
+            let want = (*left).min(BATCH);
             let mut plans = std::mem::take(&mut self.plans);
             let parts = self.parts();
             let placed = plans.place(now, entry, want, &parts);
@@ -422,6 +444,7 @@
                 hopeless.push((need, spot, service));
             }
         }
+        waiting.len()
     }
 
     /// Whether a task of this job may start on this machine at this moment.
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -93,6 +93,66 @@
     all_served(&sim);
 }
 
+/// Half as many machines again as the largest deployment: a leader is lost together with a machine, a zone is cut off
+/// for longer than a lease and comes back, all controllers are lost.
+#[test]
+fn two_thousand_machines_lose_their_leader_and_a_zone() {
+    let mut sim = Sim::at(Site::fleet(), 17);
+    for n in 0..426 {
+        sim.submit(&format!("job-{n:06}"), &service([2, 2, 4, 16][n % 4], 4.0, n as u64 % 6));
+    }
+    for n in 500..707 {
+        sim.submit(&format!("job-{n:06}"), &array([30, 70, 70, 400][n % 4], 2.0, 40.0, "standard"));
+    }
+    sim.run_until(60_000);
+    // Some services that found no room kept everything else from being looked at: nothing more was rented.
+    let machines = sim.workers.len();
+    assert!(machines > 900, "{machines} machines");
+    // A machine that is dead when the leader changes held older jobs back for nine seconds.
+    let dead = *sim.workers.keys().nth(machines / 2).expect("a machine");
+    sim.die(dead);
+    let leader = sim.leader().expect("somebody leads");
+    sim.bounce(leader, 5000);
+    sim.run_until(66_500);
+    assert!(sim.open(), "older jobs are held back");
+    sim.run_until(80_000);
+    let within = sim.in_zone("c");
+    sim.cut_zone("c");
+    // Its tasks go on until their leases end, and its machines are there again afterwards.
+    sim.run_until(118_000);
+    assert!(sim.in_zone("c") > within / 2, "{} of {within} machines are left", sim.in_zone("c"));
+    sim.heal_zone("c");
+    sim.run_until(150_000);
+    (0..5).for_each(|n| sim.bounce(n, 300 + n as u64 * 400));
+    sim.run_until(160_000);
+    sim.mend();
+    sim.run_until(320_000);
+    all_served(&sim);
+}
+
+/// Room for the replicas of a zone that is cut off is there by the time their leases end, and the zone is used again
+/// as soon as it is back.
+#[test]
+fn replicas_of_a_lost_zone_move_when_their_leases_end() {
+    let mut sim = Sim::at(Site { zones: vec!["a", "b", "c"], ..Site::small() }, 19);
+    for n in 0..16 {
+        sim.submit(&format!("job-{n:06}"), &service(3, 1.0, n % 3));
+    }
+    sim.run_until(40_000);
+    let within = sim.in_zone("c");
+    assert!(within >= 4, "{within} machines");
+    sim.cut_zone("c");
+    sim.run_until(55_000);
+    assert_eq!(sim.in_zone("c"), within, "returned although its tasks run");
+    // The lease of 16 s, our certainty that it is over, the start.
+    sim.run_until(63_000);
+    all_served(&sim);
+    sim.heal_zone("c");
+    sim.run_until(70_000);
+    assert!(sim.in_zone("c") >= within);
+    all_served(&sim);
+}
+
 /// Under a lasting overload by a higher rank, a lower one and the largest jobs still begin within four
 /// minutes.
 #[test]
