--- a/src/records.rs
+++ b/src/records.rs
@@ -295,7 +295,8 @@
         if !self.loaded {
             return;
         }
-        if !(self.queue.is_empty() && self.later.is_empty())
+        let waits = !self.queue.is_empty() || !self.later.is_empty();
+        if waits
             && !self.busy(&Purpose::Commit)
             && now.since(self.last_commit) >= self.commit_every
             && self.budget >= 1.0
