--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod settings;
 pub mod store;
 pub mod units;
+mod watching;
 pub mod wire;
 pub mod workers;
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -10,8 +10,9 @@
 use crate::settings::Settings;
 use crate::store::Reply;
 use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskId, Time, Token, Wall};
-use crate::wire::{Cause, Commands, Report, ReportAnswer};
-use crate::workers::{self, Enrolment, Flight, Machine, Phase};
+use crate::watching::LostZone;
+use crate::wire::{Cause, Report, ReportAnswer};
+use crate::workers::{self, Enrolment, Machine, Phase};
 use log::{debug, info, warn};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -25,28 +26,9 @@
 const JOBS_PER_MB: f64 = 250.0;
 /// Executions between two records of what CorrecFAST has learnt.
 const LEARNT_EVERY: u64 = 20;
-/// Why a leader that reaches no worker gives up.
-pub const NO_WORKERS: &str = "no worker is reached";
 /// Facts that may wait to become durable.
 const BACKLOG_LIMIT: usize = 5000;
 
-/// So long the machines of a zone that is cut off are kept.
-const KEEP_ZONE: Span = Span(60_000);
-
-/// A zone that was not seen to be out of reach for so long is back.
-const ZONE_IS_BACK: Span = Span(3000);
-/// Fewer machines say nothing of a zone, or of this node.
-const FEW: usize = 4;
-
-/// A zone in which most machines fell silent.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct LostZone {
-    /// Since when.
-    pub since: Time,
-    /// When that was seen last.
-    pub seen: Time,
-}
-
 /// A user who waits for a commit.
 #[derive(Debug, Clone, Copy)]
 struct Waiter {
@@ -57,7 +39,7 @@
 /// One node's time as leader.
 pub struct Reign {
     pub(crate) settings: Settings,
-    token: Token,
+    pub(crate) token: Token,
     pub(crate) since: Time,
     records: Records,
     pub(crate) book: JobBook,
@@ -84,14 +66,14 @@
     /// Where the last round of planning stopped, if it did not get through.
     pub(crate) stopped: Option<JobId>,
     /// Direct commands under way.
-    flights: usize,
+    pub(crate) flights: usize,
     /// Enrolled by an earlier leader and not known to have seen this token.
-    unfenced: BTreeSet<MachineId>,
+    pub(crate) unfenced: BTreeSet<MachineId>,
     /// When an earlier leader's machine was fenced last.
-    wave: Time,
+    pub(crate) wave: Time,
     opened: bool,
     attempts: u64,
-    commands: u64,
+    pub(crate) commands: u64,
     accepting: HashMap<JobId, Vec<Waiter>>,
     cancelling: HashMap<JobId, Vec<Waiter>>,
     /// Finished attempts that may be reaped once their finish is durable.
@@ -104,10 +86,10 @@
     ticked: Time,
     /// How long nothing of ours has reached any worker, counted in ticks, so that a process that stood still
     /// does not take its own absence for silence.
-    unheard: Span,
+    pub(crate) unheard: Span,
     /// Whether anything has reached a worker in this reign.
-    reaches: bool,
-    over: Option<&'static str>,
+    pub(crate) reaches: bool,
+    pub(crate) over: Option<&'static str>,
 }
 
 impl Reign {
@@ -531,35 +513,6 @@
         self.flush(now, out);
     }
 
-    /// Notes that this node reaches workers, if it does.
-    fn heard_of(&mut self, now: Time, id: MachineId) {
-        if self.machines.get(&id).is_some_and(|m| m.reached == now && m.fenced) {
-            self.unheard = Span(0);
-            self.reaches = true;
-        }
-    }
-
-    /// Ends the reign if this node reaches no worker, although it is not alone: cut off from the workers alone
-    /// it kept its key, while every lease ran out and every task was lost.
-    pub fn look_for_workers(&mut self) {
-        let limit = if self.reaches {
-            // Each worker that comes here regularly does so again within this time; of many some do at once.
-            let back = self.machines.values().filter(|m| m.regular).count();
-            if back < FEW {
-                return;
-            }
-            self.settings.deployment.workers.silence(back)
-        } else if self.machines.len() < FEW {
-            return;
-        } else {
-            // Two direct commands to each were not answered.
-            COMMAND_TIMEOUT + COMMAND_TIMEOUT + Span(500)
-        };
-        if self.unheard >= limit {
-            self.over = Some(NO_WORKERS);
-        }
-    }
-
     /// Enrols a machine that is new. Only one that has seen this token is surely there: the report of a
     /// machine that an earlier leader returned may come late.
     fn enrol(&mut self, certain: bool, id: MachineId) {
@@ -878,172 +831,6 @@
         self.flush(now, out);
     }
 
-    /// Looks after silent, late and drained machines.
-    fn watch(&mut self, now: Time, certain: bool, out: &mut Vec<Effect>) {
-        let times = &self.settings.deployment.workers;
-        let overdue = Span::secs(times.report_s * 1.25 + 0.5);
-        let patience = Span::secs(times.report_s * 1.25 + 1.5);
-        // A worker's clock may run slow by as much as ours runs fast, and a process may be late.
-        let lease_over = Span::secs(times.lease_s * 1.002 + 1.5);
-        let unreached = |m: &Machine| now.since(m.reached) >= overdue;
-        // If most machines are out of reach at once, and not because of a zone, it is this node that is cut off.
-        let cut_off = self.look_for_zones(now, &unreached);
-        let unfenced_zones = self.unfenced_zones();
-        let mut events = Vec::new();
-        let mut give_back: Vec<(MachineId, &'static str)> = Vec::new();
-        let mut probes: Vec<(Time, MachineId)> = Vec::new();
-        let mut probing = 0;
-        for (id, m) in &mut self.machines {
-            if let Some(flight) = m.flight
-                && now.since(flight.sent) > COMMAND_TIMEOUT + Span(500)
-            {
-                m.command_over(now, flight.id, false);
-            }
-            if unreached(m) || m.unanswered > 0 {
-                probing += usize::from(m.flight.is_some());
-                if m.flight.is_none() && now.since(m.probed) >= Span(800) {
-                    probes.push((m.probed, *id));
-                }
-            }
-            // One that does not answer a new leader, while the others of its zone did, holds older jobs back. While
-            // others still come in it may be this process that is late.
-            let alone = !m.fenced && !unfenced_zones.contains(&m.record.zone) && now.since(self.wave) >= Span(1000);
-            if unreached(m) || alone {
-                self.changed.insert(*id);
-                // A machine that takes nothing in renews no lease, whatever it reports; but that an
-                // answer did not reach it cannot be known, so the lease counts from the last one given. A leader in
-                // doubt cannot know at all: cut off with its own zone it took the others' leases for over, which
-                // the next leader went on renewing, and started their tasks a second time.
-                if certain && m.fenced && now.since(m.answered) >= lease_over && !m.holds.is_empty() {
-                    info!("lease over machine={id}");
-                    let mut lost = Vec::new();
-                    m.drop_holds(&mut lost);
-                    events.push((*id, lost));
-                }
-                // A machine that takes nothing in is most likely dead, or its network is; its services
-                // wait for this verdict. In a zone that is cut off as a whole tasks go on until their leases
-                // end, and its machines are there again after the cut: they are kept for a while. A new leader
-                // does so only if an earlier one is in that zone, since it holds older jobs back meanwhile.
-                let zone = self.lost_zones.get(&m.record.zone).filter(|z| now.since(z.seen) < ZONE_IS_BACK);
-                let within = unfenced_zones.contains(&m.record.zone) && self.led_from_within.contains(&m.record.zone);
-                let cut = match m.fenced {
-                    true => zone.is_some_and(|z| now.since(z.since) < KEEP_ZONE),
-                    false => within && now.since(self.since) < KEEP_ZONE,
-                };
-                let limit = match (alone, cut_off || cut) {
-                    (true, _) => COMMAND_TIMEOUT + COMMAND_TIMEOUT,
-                    (false, true) => lease_over,
-                    (false, false) => patience,
-                };
-                if now.since(m.reached) >= limit && m.unanswered >= 2 && !cut {
-                    let silent = now.since(m.heard) >= overdue || !m.fenced;
-                    give_back.push((*id, if silent { "silent" } else { "takes nothing in" }));
-                }
-            }
-            let empty = !m.holds.values().any(workers::Hold::occupies);
-            if let Some(why) = m.draining {
-                if empty {
-                    give_back.push((*id, why));
-                }
-            } else if m.notice.is_some() && empty {
-                give_back.push((*id, "is taken back"));
-            }
-        }
-        for (id, lost) in events {
-            self.dirty = true;
-            self.observed(now, id, lost);
-        }
-        if certain {
-            for (id, why) in give_back {
-                if let Some(m) = self.machines.get_mut(&id) {
-                    m.draining.get_or_insert(why);
-                }
-                self.plans.remove(id);
-                self.fleet.give_back(id, why);
-            }
-            self.fleet.give_up_on_late(now);
-        }
-        // What does not answer gets no more than half of the commands: when many machines fell silent together,
-        // the others' starts waited behind theirs.
-        probes.sort_unstable();
-        let most = self.settings.deployment.resources.commands_at_once();
-        for (_, id) in probes.into_iter().take((most / 2).saturating_sub(probing)) {
-            if self.flights < most {
-                self.command(now, id, true, out);
-            }
-        }
-    }
-
-    /// Zones most of whose machines have not answered this leader yet.
-    pub(crate) fn unfenced_zones(&self) -> BTreeSet<String> {
-        let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
-        if self.machines.values().any(|m| !m.fenced) {
-            for m in self.machines.values() {
-                let (all, unfenced) = zones.entry(&m.record.zone).or_default();
-                *all += 1;
-                *unfenced += usize::from(!m.fenced);
-            }
-        }
-        zones.into_iter().filter(|(_, (all, unfenced))| unfenced * 2 > *all).map(|(z, _)| z.to_string()).collect()
-    }
-
-    /// Notes zones that are out of reach while others are not; true if all zones are.
-    ///
-    /// Either nothing has reached any machine of a zone for so long that many would have come back, or most of its
-    /// machines are out of reach one by one. The first is sure within seconds; without it half of the zone was
-    /// returned as silent before the second was. A machine is out of reach only if it did not answer: after an
-    /// election workers that wait for a leader that stands still do not report for long.
-    fn look_for_zones(&mut self, now: Time, unreached: &dyn Fn(&Machine) -> bool) -> bool {
-        #[derive(Default)]
-        struct Seen {
-            all: usize,
-            regular: usize,
-            out_of_reach: usize,
-            last: Time,
-        }
-        let mut zones: HashMap<&str, Seen> = HashMap::new();
-        for m in self.machines.values().filter(|m| m.fenced) {
-            let zone = zones.entry(&m.record.zone).or_default();
-            zone.all += 1;
-            zone.regular += usize::from(m.regular);
-            zone.out_of_reach += usize::from(unreached(m) && m.unanswered > 0);
-            zone.last = zone.last.max(m.reached);
-        }
-        // A single machine that is reached again shows that the zone is back: without this nothing was rented there
-        // for 40 s more, and replicas that may run nowhere else waited.
-        let back = |zone: &String, lost: &LostZone| {
-            zones.get(zone.as_str()).is_some_and(|z| z.last.since(lost.seen) > Span(250))
-        };
-        self.lost_zones.retain(|zone, lost| !back(zone, lost));
-        let known = zones.len();
-        let times = &self.settings.deployment.workers;
-        let latest = zones.values().map(|z| z.last).max().unwrap_or_default();
-        zones.retain(|_, z| {
-            let silent = z.regular >= FEW && latest.since(z.last) >= times.silence(z.regular);
-            silent || (z.out_of_reach > 3 && z.out_of_reach * 2 > z.all)
-        });
-        if zones.len() == known {
-            return known > 0;
-        }
-        for (zone, seen) in zones {
-            let before = self.lost_zones.get(zone).filter(|z| now.since(z.seen) < ZONE_IS_BACK);
-            if before.is_none() {
-                warn!(
-                    "zone {zone} is out of reach: {} machines, {} of them did not answer",
-                    seen.all, seen.out_of_reach
-                );
-            }
-            let since = before.map_or(now, |z| z.since);
-            self.lost_zones.insert(zone.to_string(), LostZone { since, seen: now });
-        }
-        false
-    }
-
-    /// Whether a zone is out of reach now, and since when.
-    pub(crate) fn lost_since(&self, zone: &str, now: Time) -> Option<Time> {
-        self.lost_zones.get(zone).filter(|z| now.since(z.seen) < ZONE_IS_BACK).map(|z| z.since)
-    }
-
     /// Sends what is to be sent at once: direct commands and due commits.
     pub(crate) fn flush(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut events = Vec::new();
@@ -1060,31 +847,6 @@
             self.command(now, id, false, out);
         }
     }
-
-    /// Sends a direct command to a machine, one at a time to each. What does not answer is not tried again and
-    /// again: `watch` does so from time to time.
-    fn command(&mut self, now: Time, id: MachineId, probe: bool, out: &mut Vec<Effect>) {
-        let Some(machine) = self.machines.get_mut(&id) else { return };
-        if machine.flight.is_some() || (machine.unanswered > 0 && !probe) {
-            return;
-        }
-        self.commands += 1;
-        let command = self.commands;
-        let orders = if machine.fenced { machine.direct_orders(command) } else { Vec::new() };
-        if orders.is_empty() && machine.fenced && !probe {
-            return;
-        }
-        self.flights += 1;
-        machine.probed = now;
-        machine.flight = Some(Flight { id: command, sent: now });
-        out.push(Effect::Command {
-            token: self.token.0,
-            machine: id,
-            endpoint: machine.record.endpoint.clone(),
-            id: command,
-            body: Commands { token: self.token.0, session: machine.session.0, orders },
-        });
-    }
 }
 
 /// The fact that a machine was rented; where its worker is will be told by its first report.
