--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -166,6 +166,12 @@
         self.news = true;
     }
 
+    /// A machine that an earlier leader gave back.
+    pub fn lose(&mut self, id: MachineId) {
+        self.booting.remove(&id);
+        self.gone.insert(id);
+    }
+
     /// Rents machines.
     pub fn rent(&mut self, now: Time, place: &Place, count: u32, out: &mut Vec<Event>) {
         self.requests += 1;
--- a/src/records.rs
+++ b/src/records.rs
@@ -147,7 +147,7 @@
     chunks: Vec<(String, serde_json::Value)>,
     next: EntryNo,
     oldest: EntryNo,
-    /// What users, finished tasks and new machines wait for.
+    /// What users, finished tasks and new machines wait for; a machine that is gone would hold the next leader up.
     queue: VecDeque<Record>,
     /// What nobody waits for: it goes along where room is left. When a thousand machines came up together, their
     /// images and rentals held submissions up for seconds.
@@ -227,8 +227,8 @@
     /// Queues a fact for the next commit.
     pub fn push(&mut self, record: Record) {
         match record {
-            Record::Job(_) | Record::Done(..) | Record::Cancelled(_) | Record::Enrolled(_) => {
-                self.queue.push_back(record)
+            Record::Job(_) | Record::Done(..) | Record::Cancelled(_) | Record::Enrolled(_) | Record::Gone(_) => {
+                self.queue.push_back(record);
             }
             _ => self.later.push_back(record),
         }
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -355,8 +355,8 @@
                 self.unfenced.insert(machine.id);
                 self.machines.insert(machine.id, m);
             }
-            // Such facts are written later than others: by now it may be known to be up.
-            Record::Rented(machine) if self.machines.contains_key(&machine.id) => {}
+            // Such facts are written later than others: by now it may be known to be up, or gone.
+            Record::Rented(machine) if self.machines.contains_key(&machine.id) || self.fleet.is_gone(machine.id) => {}
             Record::Rented(machine) => {
                 let (kind, zone) = (machine.kind.clone(), machine.zone.clone());
                 let since = wall.instant(now, machine.at);
@@ -371,7 +371,7 @@
                 self.correction = Correction { percent: *percent, executions: *executions };
             }
             Record::Gone(id) => {
-                self.fleet.up(*id);
+                self.fleet.lose(*id);
                 self.unfenced.remove(id);
                 self.machines.remove(id);
             }
@@ -863,3 +863,39 @@
     };
     Answer { status, retry_after: 0, body: body.to_string() }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::tests::SAMPLE;
+
+    /// Facts that nobody waits for are written later than others: a rental that is read back after the machine was
+    /// enrolled, or given back, is no machine on its way.
+    #[test]
+    fn a_rental_that_is_read_late_changes_nothing() {
+        let mut reign = Reign::new(Token(5), Time::START, &Settings::parse(SAMPLE).unwrap());
+        let (kind, zone, endpoint) = ("big".to_string(), "a".to_string(), String::new());
+        let machine = |n| MachineRecord {
+            id: MachineId(n),
+            endpoint: endpoint.clone(),
+            kind: kind.clone(),
+            zone: zone.clone(),
+            spot: false,
+            at: Wall(0),
+        };
+        let facts = [
+            Record::Enrolled(machine(1)),
+            Record::Enrolled(machine(2)),
+            Record::Gone(MachineId(2)),
+            Record::Rented(machine(1)),
+            Record::Rented(machine(2)),
+            Record::Rented(machine(3)),
+        ];
+        for fact in &facts {
+            reign.restore(Time::START, Wall(0), fact);
+        }
+        let booting: Vec<MachineId> = reign.fleet.booting().map(|(id, _)| *id).collect();
+        assert_eq!(booting, [MachineId(3)]);
+        assert_eq!(reign.machines.keys().collect::<Vec<_>>(), [&MachineId(1)]);
+    }
+}
