Watching: silence counts only while there are workers

Cause, found by reading: the time without a worker counted from the start of a reign, so that four machines that came up in the same moment ended a reign that had waited for them. Test silence_counts_only_while_there_are_workers.

--- a/src/watching.rs
+++ b/src/watching.rs
@@ -39,15 +39,16 @@
     /// Ends the reign if this node reaches no worker, although it is not alone: cut off from the workers alone
     /// it kept its key, while every lease ran out and every task was lost.
     pub fn look_for_workers(&mut self) {
+        let regular = self.machines.values().filter(|m| m.regular).count();
+        if (if self.reaches { regular } else { self.machines.len() }) < FEW {
+            // Without workers there is no silence: the first ones that came up together ended a reign that had waited
+            // for them.
+            self.unheard = Span(0);
+            return;
+        }
         let limit = if self.reaches {
             // Each worker that comes here regularly does so again within this time; of many some do at once.
-            let back = self.machines.values().filter(|m| m.regular).count();
-            if back < FEW {
-                return;
-            }
-            self.settings.deployment.workers.silence(back)
-        } else if self.machines.len() < FEW {
-            return;
+            self.settings.deployment.workers.silence(regular)
         } else {
             // Two direct commands to each were not answered.
             COMMAND_TIMEOUT + COMMAND_TIMEOUT + Span(500)
@@ -248,3 +249,29 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::records::MachineRecord;
+    use crate::settings::{Settings, tests::SAMPLE};
+    use crate::units::{Room, Token, Wall};
+    use crate::workers::Enrolment;
+
+    #[test]
+    fn silence_counts_only_while_there_are_workers() {
+        let mut reign = Reign::new(Token(5), Time::START, &Settings::parse(SAMPLE).unwrap());
+        reign.unheard = Span(25_000);
+        reign.look_for_workers();
+        for n in 1..=4 {
+            let (kind, zone, endpoint) = ("big".to_string(), "a".to_string(), String::new());
+            let record = MachineRecord { id: MachineId(n), endpoint, kind, zone, spot: false, at: Wall(0) };
+            reign.machines.insert(MachineId(n), Machine::new(record, Room::default(), Enrolment::None, Time::START));
+        }
+        reign.look_for_workers();
+        assert_eq!(reign.over(), None, "they have just come up");
+        reign.unheard = Span(3600);
+        reign.look_for_workers();
+        assert_eq!(reign.over(), Some(NO_WORKERS));
+    }
+}
