One piece of code for twins of this change; names written out only for orders

Whether a lost zone lasts, whether a machine is in reach, whether a transaction writes the manifest and what is done with a machine that is gone stood twice or more. The end of a reign was decided by comparing the text of its reason; it is a type now. A report's answer wrote out the name of every attempt, ended ones that are kept for two leases among them; each tick counted all workers, now only when the silence is long enough to matter. A limit that could not take effect for kept zones is gone, and unfenced zones are looked for only while a leader holds back.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -6,11 +6,10 @@
 use crate::intake::JobRecord;
 use crate::leadership::{self, Leadership};
 use crate::peers::{Answer, UserCall};
-use crate::reign::Reign;
+use crate::reign::{Over, Reign};
 use crate::settings::{Seed, Settings};
 use crate::store::{Reply, StateCall};
 use crate::units::{MachineId, Span, Time, Token, Wall};
-use crate::watching::NO_WORKERS;
 use crate::wire::{Commands, Report};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde_json::json;
@@ -131,7 +130,7 @@
     reachable: Time,
     announced: Time,
     /// When each node was known to lead last.
-    led: HashMap<String, Time>,
+    last_led: HashMap<String, Time>,
     /// When this node left the leadership to others last, because it reached no worker.
     made_room: Option<Time>,
 }
@@ -157,7 +156,7 @@
             ready: false,
             reachable: Time(0),
             announced: Time(0),
-            led: HashMap::new(),
+            last_led: HashMap::new(),
             made_room: None,
         }
     }
@@ -246,11 +245,11 @@
     fn check_reign(&mut self, now: Time, out: &mut Vec<Effect>) {
         if let Some(why) = self.reign.as_ref().and_then(Reign::over) {
             let mut events = Vec::new();
-            if why == NO_WORKERS {
+            if why == Over::NoWorkers {
                 self.made_room = Some(now);
-                self.leadership.make_room(now, why, &mut events);
+                self.leadership.make_room(now, why.reason(), &mut events);
             } else {
-                self.leadership.step_down(now, why, &mut events);
+                self.leadership.step_down(now, why.reason(), &mut events);
             }
             self.led(now, Wall(0), events, out);
         }
@@ -291,10 +290,10 @@
         let may_make_room =
             certain && !self.links.is_empty() && self.made_room.is_none_or(|at| now.since(at) >= MAKES_ROOM_EVERY);
         if let Some(leader) = self.leadership.leader() {
-            self.led.insert(leader.to_string(), now);
+            self.last_led.insert(leader.to_string(), now);
         }
         if let Some(reign) = &mut self.reign {
-            let lately = |s: &&Seed| self.led.get(&s.node).is_some_and(|at| now.since(*at) < LED_LATELY);
+            let lately = |s: &&Seed| self.last_led.get(&s.node).is_some_and(|at| now.since(*at) < LED_LATELY);
             reign.led_from_within = self.settings.seeds.iter().filter(lately).map(|s| s.area.clone()).collect();
             reign.tick(now, wall, certain, out);
             if may_make_room {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -166,8 +166,9 @@
         self.news = true;
     }
 
-    /// A machine that an earlier leader gave back.
+    /// A machine that is surely gone.
     pub fn lose(&mut self, id: MachineId) {
+        self.returning.remove(&id);
         self.booting.remove(&id);
         self.gone.insert(id);
     }
@@ -293,13 +294,11 @@
             }
             (CloudCall::Rent(_), 400) => true,
             (CloudCall::Return(ids), 200) => {
-                for id in ids {
-                    self.returning.remove(id);
-                    self.booting.remove(id);
-                    self.gone.insert(*id);
-                }
-                out.push(Event::Returned(ids.clone()));
-                true
+                let ids = ids.clone();
+                self.in_flight.remove(&id);
+                ids.iter().for_each(|id| self.lose(*id));
+                out.push(Event::Returned(ids));
+                return;
             }
             (CloudCall::List(_), 200) => {
                 if let Some(list) = reply.parse::<MachineList>() {
--- a/src/records.rs
+++ b/src/records.rs
@@ -111,11 +111,15 @@
 
 impl InFlight {
     /// Whether it writes the manifest.
-    fn names_manifest(&self) -> bool {
-        matches!(&self.call, StateCall::Txn(txn) if txn.conditions.iter().any(|c| c.key == MANIFEST))
+    fn writes_manifest(&self) -> bool {
+        matches!(&self.call, StateCall::Txn(txn) if writes_manifest(&txn.changes))
     }
 }
 
+fn writes_manifest(changes: &[Change]) -> bool {
+    changes.iter().any(|c| matches!(c, Change::Put { key, .. } if key == MANIFEST))
+}
+
 #[derive(Debug)]
 struct Snapshot {
     steps: VecDeque<Vec<Change>>,
@@ -313,9 +317,8 @@
             // Commits go first: three changes stay free for them.
             Some(Some(step)) if self.budget >= (step.len() + 3).min(limit as usize) as f64 => {
                 self.budget -= step.len() as f64;
-                let names_it = step.iter().any(|c| matches!(c, Change::Put { key, .. } if key == MANIFEST));
                 let mut txn = self.txn(step);
-                if names_it {
+                if writes_manifest(&txn.changes) {
                     txn.conditions.push(condition(MANIFEST, stamp));
                 }
                 self.call(now, Purpose::Snapshot, StateCall::Txn(txn), out);
@@ -381,7 +384,7 @@
             },
             (Purpose::Commit | Purpose::Snapshot, 200) => {
                 let flight = self.in_flight.remove(at);
-                if flight.names_manifest() {
+                if flight.writes_manifest() {
                     self.stamp = reply.parse::<TxnAnswer>().map(|answer| Revision(answer.revision));
                 }
                 self.done(now, &purpose, out);
@@ -395,7 +398,7 @@
             }
             (Purpose::Commit | Purpose::Snapshot, 409) => {
                 let failed = reply.parse::<TxnAnswer>().unwrap_or_default().failed;
-                if self.in_flight.remove(at).names_manifest() {
+                if self.in_flight.remove(at).writes_manifest() {
                     self.stamp = None;
                 }
                 if failed.iter().any(|k| k == LEADER_KEY) || failed.is_empty() {
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -29,6 +29,28 @@
 /// Facts that may wait to become durable.
 const BACKLOG_LIMIT: usize = 5000;
 
+/// Why a reign is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Over {
+    /// Somebody else has won the key.
+    KeyChanged,
+    /// A worker obeys a later leader.
+    HigherToken,
+    /// This node reaches no worker.
+    NoWorkers,
+}
+
+impl Over {
+    /// For the log.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Over::KeyChanged => "the leader key has changed",
+            Over::HigherToken => "a worker has seen a higher token",
+            Over::NoWorkers => "no worker is reached",
+        }
+    }
+}
+
 /// A user who waits for a commit.
 #[derive(Debug, Clone, Copy)]
 struct Waiter {
@@ -89,7 +111,7 @@
     pub(crate) unheard: Span,
     /// Whether anything has reached a worker in this reign.
     pub(crate) reaches: bool,
-    pub(crate) over: Option<&'static str>,
+    pub(crate) over: Option<Over>,
 }
 
 impl Reign {
@@ -153,7 +175,7 @@
         self.records.loaded()
     }
     /// Why this reign is over, if it is.
-    pub fn over(&self) -> Option<&'static str> {
+    pub fn over(&self) -> Option<Over> {
         self.over
     }
     /// Whether every machine of earlier leaders was fenced or is gone, so that older jobs may start.
@@ -341,7 +363,7 @@
                         self.durable(now, wall, &record, out);
                     }
                 }
-                records::Event::Deposed => self.over = Some("the leader key has changed"),
+                records::Event::Deposed => self.over = Some(Over::KeyChanged),
             }
         }
     }
@@ -457,7 +479,7 @@
         out: &mut Vec<Effect>,
     ) {
         if report.token > self.token.0 {
-            self.over = Some("a worker has seen a higher token");
+            self.over = Some(Over::HigherToken);
             out.push(Effect::Answer(origin, unavailable("a newer leader exists")));
             return;
         }
@@ -548,7 +570,7 @@
         }
         if answered && let Some(report) = reply.parse::<Report>() {
             if report.token > self.token.0 {
-                self.over = Some("a worker has seen a higher token");
+                self.over = Some(Over::HigherToken);
                 return;
             }
             if report.machine == id.to_string() {
--- a/src/renting.rs
+++ b/src/renting.rs
@@ -144,8 +144,7 @@
     /// Replicas that a new leader holds back because a zone does not answer: they are most likely lost with it, and
     /// the machines for them should be up when that is sure.
     fn held_back(&self, now: Time) -> u64 {
-        let lost = self.unfenced_zones();
-        if self.open() || now.since(self.since) < Span(3000) || lost.iter().all(|z| self.led_from_within.contains(z)) {
+        if self.open() || now.since(self.since) < Span(3000) || self.unfenced_zones().is_subset(&self.led_from_within) {
             return 0;
         }
         let services = self.book.live().filter(|j| j.record.service && j.durable && !j.ours && !j.cancelling);
@@ -300,8 +299,7 @@
         for (_, b) in self.fleet.booting().filter(|(_, b)| empty.contains(&b.zone)) {
             let boot = self.fleet.flavor(&b.kind).map_or(60.0, |f| f.boot_s);
             if now.since(b.since) > Span::secs(boot * 1.6 + 3.0) {
-                let lost = self.lost_zones.entry(b.zone.clone()).or_insert(LostZone { since: now, seen: now });
-                lost.seen = now;
+                self.lost_zones.entry(b.zone.clone()).or_insert(LostZone { since: now, seen: now }).seen = now;
             }
         }
         let lost = |zone: &&String| self.lost_within(zone, now, REMEMBERED);
@@ -336,8 +334,9 @@
             return;
         }
         let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(0.0, f64::max);
+        let overdue = self.settings.deployment.workers.overdue();
         let mut best: Option<(u64, MachineId)> = None;
-        for (id, m) in self.machines.iter().filter(|(_, m)| m.usable() && !m.record.spot && self.in_reach(m)) {
+        for (id, m) in self.machines.iter().filter(|(_, m)| m.usable() && !m.record.spot && m.in_reach(now, overdue)) {
             let settled = |h: &Hold| h.running_since.is_some_and(|r| now.since(r) > SETTLED) && h.stop.is_none();
             let (services, others): (Vec<&Hold>, Vec<&Hold>) =
                 m.holds.values().filter(|h| h.occupies()).partition(|h| h.predicted.is_none());
@@ -368,11 +367,12 @@
     /// left for those that are likely to come.
     fn fits_elsewhere(&self, from: MachineId, services: &[&Hold], boot_s: f64) -> bool {
         let parts = self.parts();
+        let overdue = self.settings.deployment.workers.overdue();
         let mut rooms: Vec<(&Machine, Room)> = self
             .machines
             .values()
             // One that is out of reach, as all are in a zone that is cut off, is no place to move to.
-            .filter(|m| m.id() != from && m.usable() && !m.record.spot && self.in_reach(m))
+            .filter(|m| m.id() != from && m.usable() && !m.record.spot && m.in_reach(self.scheduled, overdue))
             .map(|m| (m, m.free()))
             .collect();
         // Full machines first, so that larger room stays together.
@@ -405,11 +405,6 @@
         left >= wanted
     }
 
-    /// Whether something of ours reached a machine lately.
-    fn in_reach(&self, machine: &Machine) -> bool {
-        self.scheduled.since(machine.reached) <= self.settings.deployment.workers.overdue()
-    }
-
     /// Gives back what has been idle: a machine costs a minimum that is better used than wasted.
     pub(crate) fn return_idle(&mut self, now: Time) {
         const MINIMUM_CHARGE: Span = Span(60_000);
@@ -418,7 +413,7 @@
         for (id, m) in &mut self.machines {
             let busy =
                 m.holds.values().any(Hold::occupies) || self.plans.server(*id).is_some_and(|s| !s.queue.is_empty());
-            if busy || !m.usable() || self.scheduled.since(m.reached) > overdue {
+            if busy || !m.usable() || !m.in_reach(now, overdue) {
                 m.idle_since = None;
                 continue;
             }
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -273,7 +273,7 @@
             if m.capacity == Room::default() {
                 m.capacity = intake::capacity(flavor);
             }
-            if m.draining.is_some() || m.notice.is_some() || now.since(m.reached) > overdue {
+            if m.draining.is_some() || m.notice.is_some() || !m.in_reach(now, overdue) {
                 return None;
             }
             let mut releases: Vec<(Time, Room)> = Vec::new();
--- a/src/watching.rs
+++ b/src/watching.rs
@@ -1,15 +1,13 @@
 //! Looking after machines: which are silent, in which zones, and whether this node reaches any at all.
 
 use crate::controller::Effect;
-use crate::reign::{COMMAND_TIMEOUT, Reign};
+use crate::reign::{COMMAND_TIMEOUT, Over, Reign};
 use crate::units::{MachineId, Span, Time};
 use crate::wire::Commands;
 use crate::workers::{self, Flight, Machine};
 use log::{info, warn};
 use std::collections::{BTreeSet, HashMap};
 
-/// Why a leader that reaches no worker gives up.
-pub const NO_WORKERS: &str = "no worker is reached";
 /// So long the machines of a zone that is cut off are kept.
 const KEEP_ZONE: Span = Span(60_000);
 
@@ -27,6 +25,13 @@
     pub seen: Time,
 }
 
+impl LostZone {
+    /// Whether it is out of reach still.
+    fn lasts(&self, now: Time) -> bool {
+        now.since(self.seen) < ZONE_IS_BACK
+    }
+}
+
 impl Reign {
     /// Notes that this node reaches workers, if it does.
     pub(crate) fn heard_of(&mut self, now: Time, id: MachineId) {
@@ -39,22 +44,27 @@
     /// Ends the reign if this node reaches no worker, although it is not alone: cut off from the workers alone
     /// it kept its key, while every lease ran out and every task was lost.
     pub fn look_for_workers(&mut self) {
-        let regular = self.machines.values().filter(|m| m.regular).count();
-        if (if self.reaches { regular } else { self.machines.len() }) < FEW {
+        let counted = || self.machines.values().filter(|m| m.regular || !self.reaches);
+        if counted().nth(FEW - 1).is_none() {
             // Without workers there is no silence: the first ones that came up together ended a reign that had waited
             // for them.
             self.unheard = Span(0);
             return;
         }
+        let times = &self.settings.deployment.workers;
+        if self.unheard < times.silence(usize::MAX) {
+            // No number of workers makes this a silence: they need not be counted, twenty times a second.
+            return;
+        }
         let limit = if self.reaches {
             // Each worker that comes here regularly does so again within this time; of many some do at once.
-            self.settings.deployment.workers.silence(regular)
+            times.silence(counted().count())
         } else {
             // Two direct commands to each were not answered.
             COMMAND_TIMEOUT + COMMAND_TIMEOUT + Span(500)
         };
         if self.unheard >= limit {
-            self.over = Some(NO_WORKERS);
+            self.over = Some(Over::NoWorkers);
         }
     }
 
@@ -104,13 +114,13 @@
                 // wait for this verdict. In a zone that is cut off as a whole tasks go on until their leases
                 // end, and its machines are there again after the cut: they are kept for a while. A new leader
                 // does so only if an earlier one is in that zone, since it holds older jobs back meanwhile.
-                let zone = self.lost_zones.get(&m.record.zone).filter(|z| now.since(z.seen) < ZONE_IS_BACK);
+                let zone = self.lost_zones.get(&m.record.zone).filter(|z| z.lasts(now));
                 let within = unfenced_zones.contains(&m.record.zone) && self.led_from_within.contains(&m.record.zone);
                 let cut = match m.fenced {
                     true => zone.is_some_and(|z| now.since(z.since) < KEEP_ZONE),
                     false => within && now.since(self.since) < KEEP_ZONE,
                 };
-                let limit = match (alone, cut_off || cut) {
+                let limit = match (alone, cut_off) {
                     (true, _) => COMMAND_TIMEOUT + COMMAND_TIMEOUT,
                     (false, true) => lease_over,
                     (false, false) => patience,
@@ -206,7 +216,7 @@
             return known > 0;
         }
         for (zone, seen) in zones {
-            let before = self.lost_zones.get(zone).filter(|z| now.since(z.seen) < ZONE_IS_BACK);
+            let before = self.lost_zones.get(zone).filter(|z| z.lasts(now));
             if before.is_none() {
                 warn!(
                     "zone {zone} is out of reach: {} machines, {} of them did not answer",
@@ -221,7 +231,7 @@
 
     /// Whether a zone is out of reach now, and since when.
     pub(crate) fn lost_since(&self, zone: &str, now: Time) -> Option<Time> {
-        self.lost_zones.get(zone).filter(|z| now.since(z.seen) < ZONE_IS_BACK).map(|z| z.since)
+        self.lost_zones.get(zone).filter(|z| z.lasts(now)).map(|z| z.since)
     }
 
     /// Sends a direct command to a machine, one at a time to each. What does not answer is not tried again and
@@ -272,6 +282,6 @@
         assert_eq!(reign.over(), None, "they have just come up");
         reign.unheard = Span(3600);
         reign.look_for_workers();
-        assert_eq!(reign.over(), Some(NO_WORKERS));
+        assert_eq!(reign.over(), Some(Over::NoWorkers));
     }
 }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -223,6 +223,11 @@
         self.fenced && self.enrolment == Enrolment::Durable && self.draining.is_none() && self.notice.is_none()
     }
 
+    /// Whether something of ours reached it within this time.
+    pub fn in_reach(&self, now: Time, within: Span) -> bool {
+        now.since(self.reached) <= within
+    }
+
     /// Room that is not taken.
     pub fn free(&self) -> Room {
         let mut free = self.capacity;
@@ -362,7 +367,6 @@
             return;
         }
         hold.phase = phase;
-        hold.ended = now;
         match phase {
             Phase::Running => {
                 hold.running_since = Some(now);
@@ -373,14 +377,17 @@
                     out.push(Event::Running(task));
                 }
             }
-            Phase::Exited => out.push(Event::Exited {
-                attempt,
-                task,
-                cause: cause.unwrap_or(Cause::Other),
-                since: hold.since,
-                running_since: hold.running_since,
-                predicted: hold.predicted,
-            }),
+            Phase::Exited => {
+                hold.ended = now;
+                out.push(Event::Exited {
+                    attempt,
+                    task,
+                    cause: cause.unwrap_or(Cause::Other),
+                    since: hold.since,
+                    running_since: hold.running_since,
+                    predicted: hold.predicted,
+                });
+            }
             _ => {}
         }
     }
@@ -406,22 +413,23 @@
         let mut orders = Vec::new();
         let mut too_many = self.holds.values().filter(|h| !h.occupies()).count().saturating_sub(ENDED_LIMIT);
         for (attempt, hold) in &self.holds {
-            let (task, attempt) = (hold.task.to_string(), attempt.0);
+            // Most attempts need no order, so their names are not written out.
+            let (task, attempt) = (hold.task, attempt.0);
             if hold.phase == Phase::Exited {
                 let safe = !hold.direct || now.since(hold.ended) >= keep;
                 if hold.reapable && hold.doubt == Doubt::None && (safe || too_many > 0) {
                     too_many = too_many.saturating_sub(1);
-                    orders.push(Order::Reap { task, attempt });
+                    orders.push(Order::Reap { task: task.to_string(), attempt });
                 }
                 continue;
             }
             if !hold.seen {
-                orders.push(Order::Run { task: task.clone(), attempt });
+                orders.push(Order::Run { task: task.to_string(), attempt });
             }
             if let Some(grace_s) = hold.stop
                 && hold.phase != Phase::Saving
             {
-                orders.push(Order::Kill { task, attempt, grace_s });
+                orders.push(Order::Kill { task: task.to_string(), attempt, grace_s });
             }
             if orders.len() >= ORDERS_LIMIT {
                 break;
@@ -434,16 +442,16 @@
     pub fn direct_orders(&mut self, command: u64) -> Vec<Order> {
         let mut orders = Vec::new();
         for (attempt, hold) in &mut self.holds {
-            let (task, attempt) = (hold.task.to_string(), attempt.0);
+            let (task, attempt) = (hold.task, attempt.0);
             match hold.stop {
                 None if !hold.seen && hold.doubt == Doubt::None && hold.phase == Phase::Ordered => {
                     hold.doubt = Doubt::InFlight(command);
                     hold.direct = true;
-                    orders.push(Order::Run { task, attempt });
+                    orders.push(Order::Run { task: task.to_string(), attempt });
                 }
                 Some(grace_s) if hold.seen && hold.occupies() && !hold.stop_sent => {
                     hold.stop_sent = true;
-                    orders.push(Order::Kill { task, attempt, grace_s });
+                    orders.push(Order::Kill { task: task.to_string(), attempt, grace_s });
                 }
                 _ => {}
             }
