--- a/src/reign.rs
+++ b/src/reign.rs
@@ -519,8 +519,8 @@
         const FEW: usize = 4;
         let times = &self.settings.deployment.workers;
         let limit = if self.reaches {
-            // Each worker that has reported here reports again within this time; of many some do at once.
-            let back = self.machines.values().filter(|m| m.fenced && m.told.0 > workers::NO_SESSION).count();
+            // Each worker that comes here regularly does so again within this time; of many some do at once.
+            let back = self.machines.values().filter(|m| m.regular).count();
             if back < FEW {
                 return;
             }
@@ -647,7 +647,7 @@
             if running {
                 machine.images.insert(job.record.image.clone());
             }
-        } else {
+        } else if hold.occupies() {
             warn!("stopping unexpected {task} attempt={attempt} machine={id}");
         }
     }
--- a/src/runtime/http.rs
+++ b/src/runtime/http.rs
@@ -33,14 +33,18 @@
 
 /// Accepts connections for ever.
 pub fn serve(listener: tokio::net::TcpListener, tell: mpsc::Sender<Message>, connections: usize) {
+    let sockets = Arc::new(Semaphore::new(connections));
+    let free = sockets.clone();
     let routes = warp::method().and(warp::path::full()).and(warp::body::stream()).then(
         move |method: Method, path: warp::path::FullPath, body| {
-            let tell = tell.clone();
-            async move { response(answer(&method, path.as_str(), body, tell).await) }
+            let (tell, free) = (tell.clone(), free.clone());
+            async move {
+                let answer = answer(&method, path.as_str(), body, tell).await;
+                response(answer, needed(path.as_str(), free.available_permits(), connections))
+            }
         },
     );
     let service = warp::service(routes);
-    let sockets = Arc::new(Semaphore::new(connections));
     tokio::spawn(async move {
         loop {
             let Ok(permit) = sockets.clone().acquire_owned().await else { return };
@@ -70,15 +74,23 @@
     });
 }
 
-fn response(answer: Answer) -> Response<String> {
+/// Whether a connection is to be closed once it was answered, because few sockets are left. Users go first: their
+/// next connection may be to another node, while a worker has to come back here.
+///
+/// With more workers than sockets those that come last were left waiting until their leases ran out.
+fn needed(path: &str, free: usize, all: usize) -> bool {
+    free < if path.starts_with("/work") { all / 4 } else { all / 16 }
+}
+
+fn response(answer: Answer, close: bool) -> Response<String> {
     let mut builder = Response::builder()
         .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
         .header("content-type", "application/json");
     if answer.retry_after > 0 {
         builder = builder.header("retry-after", answer.retry_after);
     }
-    if answer.status == 413 {
-        // The rest of the body is not read, so the connection cannot be used again.
+    if close || answer.status == 413 {
+        // After 413 the rest of the body is not read, so the connection cannot be used again.
         builder = builder.header("connection", "close");
     }
     builder.body(answer.body).unwrap_or_default()
@@ -143,3 +155,16 @@
     }
     Ok(bytes)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn connections_are_closed_by_need_and_those_of_users_first() {
+        let closed = |free| (needed("/work/job-000001", free, 1600), needed("/v1/report", free, 1600));
+        assert_eq!(closed(400), (false, false));
+        assert_eq!(closed(399), (true, false));
+        assert_eq!(closed(99), (true, true));
+    }
+}
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -10,8 +10,6 @@
 
 /// Most orders in one message: it must stay far below 64 KiB.
 const ORDERS_LIMIT: usize = 300;
-/// Before any message of a worker.
-pub const NO_SESSION: Session = Session(0);
 /// Ended attempts that a machine is left with: its reports must stay far below 64 KiB.
 const ENDED_LIMIT: usize = 200;
 
@@ -125,6 +123,8 @@
     pub last_report: (Session, Seq),
     /// The last report that was answered.
     pub told: (Session, Seq),
+    /// Whether it has come back to this node with the next report after an answered one.
+    pub regular: bool,
     /// When it was heard of last.
     pub heard: Time,
     /// When it was last certain that something of ours reaches it. A machine whose reports arrive while
@@ -196,6 +196,7 @@
             fenced: false,
             last_report: (Session(0), Seq(0)),
             told: (Session(0), Seq(0)),
+            regular: false,
             heard: now,
             reached: now,
             answered: now,
@@ -251,6 +252,7 @@
         // the next report has taken the last answer in.
         if others && order == (self.told.0, Seq(self.told.1.0 + 1)) {
             self.reached(now);
+            self.regular = true;
         }
         true
     }
