--- a/src/runtime/links.rs
+++ b/src/runtime/links.rs
@@ -7,7 +7,7 @@
 use crate::units::Token;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
@@ -16,8 +16,10 @@
 const QUEUE: usize = 512;
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Frames that wait are written together up to so many bytes.
+const TOGETHER: usize = 16 * 1024;
 
-async fn read(from: &mut OwnedReadHalf) -> Option<Frame> {
+async fn read(from: &mut BufReader<OwnedReadHalf>) -> Option<Frame> {
     let mut head = [0u8; HEADER_BYTES];
     from.read_exact(&mut head).await.ok()?;
     let header = Frame::header(&head).ok()?;
@@ -26,8 +28,15 @@
     Frame::decode(&header, body).ok()
 }
 
-async fn write(to: &mut OwnedWriteHalf, frame: &Frame) -> bool {
-    matches!(tokio::time::timeout(WRITE_TIMEOUT, to.write_all(&frame.encode())).await, Ok(Ok(())))
+/// Writes a frame together with those that wait behind it: a packet for several costs hardly more than for one.
+async fn write(to: &mut OwnedWriteHalf, first: Frame, queue: &mut mpsc::Receiver<Frame>) -> bool {
+    let mut bytes = first.encode();
+    while bytes.len() < TOGETHER
+        && let Ok(frame) = queue.try_recv()
+    {
+        bytes.extend(frame.encode());
+    }
+    matches!(tokio::time::timeout(WRITE_TIMEOUT, to.write_all(&bytes)).await, Ok(Ok(())))
 }
 
 /// Takes other nodes' links.
@@ -52,7 +61,8 @@
     tell: &mpsc::Sender<Message>,
     wrap: impl Fn(Frame) -> Option<Input>,
 ) {
-    let (mut from, mut to) = stream.into_split();
+    let (from, mut to) = stream.into_split();
+    let mut from = BufReader::new(from);
     let reader = async {
         while let Some(frame) = read(&mut from).await {
             if let Some(input) = wrap(frame)
@@ -64,7 +74,7 @@
     };
     let writer = async {
         while let Some(frame) = queue.recv().await {
-            if !write(&mut to, &frame).await {
+            if !write(&mut to, frame, queue).await {
                 return;
             }
         }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -19,6 +19,8 @@
 const QUEUE: usize = 2048;
 /// How often time passes for the core.
 const TICK: Duration = Duration::from_millis(50);
+/// An input that comes so long after the last tick takes the next one along: waking up costs more than a tick does.
+const TICK_ALONG: Span = Span(40);
 
 /// What tasks tell the core's loop.
 #[derive(Debug)]
@@ -60,10 +62,16 @@
     let mut load = load::Load::new(TICK);
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut ticked = Time::START;
+    let mut along = false;
     loop {
-        let message = tokio::select! {
-            message = inbox.recv() => message,
-            _ = tick.tick() => Some(Message::Input(Input::Tick)),
+        let message = if std::mem::take(&mut along) {
+            Some(Message::Input(Input::Tick))
+        } else {
+            tokio::select! {
+                message = inbox.recv() => message,
+                _ = tick.tick() => Some(Message::Input(Input::Tick)),
+            }
         };
         let input = match message {
             Some(Message::Request(asked, to)) => {
@@ -89,6 +97,12 @@
         };
         let now = Time::START + Span(start.elapsed().as_millis() as u64);
         load.took(now, &input);
+        if matches!(input, Input::Tick) {
+            ticked = now;
+        } else if now.since(ticked) >= TICK_ALONG {
+            tick.reset();
+            along = true;
+        }
         let wall = Wall(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64));
         for effect in controller.handle(now, wall, input) {
             load.does(&effect);
