--- a/src/controller.rs
+++ b/src/controller.rs
@@ -38,6 +38,8 @@
 pub enum Input {
     /// Time passes.
     Tick,
+    /// So long inputs wait before they are taken; said when it changes.
+    Behind(Span),
     /// A user asks, here or through another node.
     User(Origin, UserCall),
     /// A worker reports.
@@ -171,6 +173,11 @@
         let mut out = Vec::new();
         match input {
             Input::Tick => self.tick(now, wall, &mut out),
+            Input::Behind(by) => {
+                if let Some(reign) = &mut self.reign {
+                    reign.behind = by;
+                }
+            }
             Input::User(origin, call) => self.user(now, wall, origin, call, now + PATIENCE, &mut out),
             Input::Report(origin, report) => self.report(now, wall, origin, &report, &mut out),
             Input::Up(origin) => out.push(Effect::Answer(origin, self.up(now))),
--- a/src/reign.rs
+++ b/src/reign.rs
@@ -26,6 +26,8 @@
 const JOBS_PER_MB: f64 = 250.0;
 /// Executions between two records of what CorrecFAST has learnt.
 const LEARNT_EVERY: u64 = 20;
+/// Direct commands that may be under way however far a leader is behind.
+const FEW_COMMANDS: usize = 8;
 /// Facts that may wait to become durable.
 const BACKLOG_LIMIT: usize = 5000;
 
@@ -111,6 +113,8 @@
     pub(crate) unheard: Span,
     /// Whether anything has reached a worker in this reign.
     pub(crate) reaches: bool,
+    /// So long inputs wait: planning does less then, so that reports and users come first.
+    pub(crate) behind: Span,
     pub(crate) over: Option<Over>,
 }
 
@@ -151,6 +155,7 @@
             ticked: now,
             unheard: Span(0),
             reaches: false,
+            behind: Span(0),
             over: None,
             settings: settings.clone(),
         }
@@ -858,6 +863,12 @@
         self.flush(now, out);
     }
 
+    /// Direct commands that may be under way: fewer when behind, since reports do the same, only later.
+    pub(crate) fn commands_at_once(&self) -> usize {
+        let most = self.settings.deployment.resources.commands_at_once();
+        (most / (1 + self.behind.0 as usize / 50)).max(FEW_COMMANDS)
+    }
+
     /// Sends what is to be sent at once: direct commands and due commits.
     pub(crate) fn flush(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut events = Vec::new();
@@ -867,7 +878,7 @@
                 out.push(Effect::State(Slot::Records(self.token.0), id, call));
             }
         }
-        let most = self.settings.deployment.resources.commands_at_once();
+        let most = self.commands_at_once();
         while self.flights < most
             && let Some(id) = self.wanting.pop_first()
         {
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -10,7 +10,7 @@
 use crate::wire::{Commands, LeaseRequest, MachineNames};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request};
+use hyper::Method;
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
@@ -22,83 +22,37 @@
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
 const CLOUD_TIMEOUT: Duration = Duration::from_millis(4900);
 
+/// Calls to the state service that may wait for its thread.
+const CALLS: usize = 256;
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+type Request = (Method, String, Option<Vec<u8>>);
+
 /// All clients, with pooled connections.
 pub struct Clients {
-    http: Client<HttpConnector, Full<Bytes>>,
+    http: Http,
     /// Apart: one connection for each command.
-    workers: Client<HttpConnector, Full<Bytes>>,
-    state: SocketAddrV4,
+    workers: Http,
+    state: mpsc::Sender<(Slot, u64, StateCall)>,
     cloud: SocketAddrV4,
     tell: mpsc::Sender<Message>,
 }
 
 impl Clients {
-    /// Clients of the services in the settings.
-    pub fn new(settings: &Settings, tell: mpsc::Sender<Message>) -> Clients {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(Duration::from_millis(900)));
-        connector.set_nodelay(true);
-        let client = |idle: Duration, per_host: usize| {
-            Client::builder(TokioExecutor::new())
-                .pool_timer(TokioTimer::new())
-                .pool_idle_timeout(idle)
-                .pool_max_idle_per_host(per_host)
-                .build(connector.clone())
-        };
-        let http = client(Duration::from_secs(30), 4);
+    /// Clients of the services in the settings; `urgent` hears of the state service.
+    pub fn new(settings: &Settings, tell: mpsc::Sender<Message>, urgent: mpsc::Sender<Message>) -> Clients {
+        let state = state_thread(settings.external.state, urgent);
         // Not kept: after an election commands go to all machines at once, and their idle connections took up to
         // all sockets that were left.
         let workers = client(Duration::from_secs(2), 0);
-        Clients { http, workers, state: settings.external.state, cloud: settings.external.cloud, tell }
-    }
-
-    fn send(
-        &self,
-        http: &Client<HttpConnector, Full<Bytes>>,
-        to: &str,
-        (method, path, body): (Method, String, Option<Vec<u8>>),
-        patience: Duration,
-        wrap: impl FnOnce(Reply) -> Input + Send + 'static,
-    ) {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{to}{path}"))
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body.unwrap_or_default())));
-        let tell = self.tell.clone();
-        let http = http.clone();
-        tokio::spawn(async move {
-            let reply = match request {
-                Ok(request) => {
-                    let exchange = async {
-                        let response = http.request(request).await.ok()?;
-                        let status = response.status().as_u16();
-                        let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await.ok()?;
-                        Some(Reply { status, body: body.to_bytes() })
-                    };
-                    tokio::time::timeout(patience, exchange).await.ok().flatten().unwrap_or_else(Reply::none)
-                }
-                Err(_) => Reply::none(),
-            };
-            let _ = tell.send(Message::Input(wrap(reply))).await;
-        });
+        let http = client(Duration::from_secs(30), 4);
+        Clients { http, workers, state, cloud: settings.external.cloud, tell }
     }
 
     /// Asks the state service.
-    pub fn state(&self, slot: Slot, id: u64, call: StateCall, patience: Duration) {
-        let what = match call {
-            StateCall::Get(key) => (Method::GET, format!("/keys/{key}"), None),
-            StateCall::Scan { prefix, after } => {
-                let since = after.map(|a| format!("&Since={a}")).unwrap_or_default();
-                (Method::GET, format!("/keys?Under={prefix}{since}&Limit=1000"), None)
-            }
-            StateCall::Txn(txn) => (Method::POST, "/txn".into(), Some(json(&txn))),
-            StateCall::Grant(ttl) => (Method::POST, "/leases".into(), Some(json(&LeaseRequest { ttl_ms: ttl.0 }))),
-            StateCall::Renew(lease) => (Method::POST, format!("/leases/{lease}/extend"), Some(b"{}".to_vec())),
-            StateCall::Revoke(lease) => (Method::DELETE, format!("/leases/{lease}"), None),
-        };
-        let to = self.state.to_string();
-        self.send(&self.http, &to, what, patience, move |reply| Input::State(slot, id, reply));
+    pub fn state(&self, slot: Slot, id: u64, call: StateCall) {
+        // A call that finds no room gets no answer, like one that was lost on its way.
+        let _ = self.state.try_send((slot, id, call));
     }
 
     /// Asks the cloud.
@@ -116,14 +70,98 @@
             }
         };
         let to = self.cloud.to_string();
-        self.send(&self.http, &to, what, CLOUD_TIMEOUT, move |reply| Input::Cloud(token, id, reply));
+        let wrap = move |reply| Input::Cloud(token, id, reply);
+        send(&self.http, &to, what, CLOUD_TIMEOUT, self.tell.clone(), wrap);
     }
 
     /// Sends commands to a worker.
     pub fn command(&self, token: u64, machine: MachineId, endpoint: &str, id: u64, body: &Commands) {
         let what = (Method::POST, "/commands".into(), Some(json(body)));
         let patience = Duration::from_millis(COMMAND_TIMEOUT.0);
-        self.send(&self.workers, endpoint, what, patience, move |reply| Input::Command(token, machine, id, reply));
+        let wrap = move |reply| Input::Command(token, machine, id, reply);
+        send(&self.workers, endpoint, what, patience, self.tell.clone(), wrap);
+    }
+}
+
+fn client(idle: Duration, per_host: usize) -> Http {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(Duration::from_millis(900)));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(idle)
+        .pool_max_idle_per_host(per_host)
+        .build(connector)
+}
+
+/// Sends a request and tells of its reply, or that none came.
+fn send(
+    http: &Http,
+    to: &str,
+    (method, path, body): Request,
+    patience: Duration,
+    tell: mpsc::Sender<Message>,
+    wrap: impl FnOnce(Reply) -> Input + Send + 'static,
+) {
+    let request = hyper::Request::builder()
+        .method(method)
+        .uri(format!("http://{to}{path}"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body.unwrap_or_default())));
+    let http = http.clone();
+    tokio::spawn(async move {
+        let reply = match request {
+            Ok(request) => {
+                let exchange = async {
+                    let response = http.request(request).await.ok()?;
+                    let status = response.status().as_u16();
+                    let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await.ok()?;
+                    Some(Reply { status, body: body.to_bytes() })
+                };
+                tokio::time::timeout(patience, exchange).await.ok().flatten().unwrap_or_else(Reply::none)
+            }
+            Err(_) => Reply::none(),
+        };
+        let _ = tell.send(Message::Input(wrap(reply))).await;
+    });
+}
+
+/// Talks to the state service on a thread of its own, so that the leader's lease and users' commits do not queue
+/// behind hundreds of reports: a leader that was behind lost its key by that alone, and elections followed one another.
+fn state_thread(to: SocketAddrV4, urgent: mpsc::Sender<Message>) -> mpsc::Sender<(Slot, u64, StateCall)> {
+    let (calls, mut queue) = mpsc::channel::<(Slot, u64, StateCall)>(CALLS);
+    let serve = move || {
+        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(e) => return log::error!("no state service: {e}"),
+        };
+        runtime.block_on(async move {
+            let http = client(Duration::from_secs(30), 4);
+            let to = to.to_string();
+            while let Some((slot, id, call)) = queue.recv().await {
+                let patience = Duration::from_millis(if slot == Slot::Leadership { 950 } else { 1450 });
+                let wrap = move |reply| Input::State(slot, id, reply);
+                send(&http, &to, state_request(call), patience, urgent.clone(), wrap);
+            }
+        });
+    };
+    if let Err(e) = std::thread::Builder::new().name("state".into()).stack_size(256 * 1024).spawn(serve) {
+        log::error!("no thread for the state service: {e}");
+    }
+    calls
+}
+
+fn state_request(call: StateCall) -> Request {
+    match call {
+        StateCall::Get(key) => (Method::GET, format!("/keys/{key}"), None),
+        StateCall::Scan { prefix, after } => {
+            let since = after.map(|a| format!("&Since={a}")).unwrap_or_default();
+            (Method::GET, format!("/keys?Under={prefix}{since}&Limit=1000"), None)
+        }
+        StateCall::Txn(txn) => (Method::POST, "/txn".into(), Some(json(&txn))),
+        StateCall::Grant(ttl) => (Method::POST, "/leases".into(), Some(json(&LeaseRequest { ttl_ms: ttl.0 }))),
+        StateCall::Renew(lease) => (Method::POST, format!("/leases/{lease}/extend"), Some(b"{}".to_vec())),
+        StateCall::Revoke(lease) => (Method::DELETE, format!("/leases/{lease}"), None),
     }
 }
 
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -5,7 +5,7 @@
 mod links;
 mod load;
 
-use crate::controller::{Controller, Effect, Input, Origin, Slot};
+use crate::controller::{Controller, Effect, Input, Origin};
 use crate::peers::{Answer, Frame};
 use crate::settings::Settings;
 use crate::units::{Span, Time, Wall};
@@ -17,6 +17,8 @@
 
 /// Inputs that may wait for the core; beyond it, requests are refused.
 const QUEUE: usize = 2048;
+/// The core has its turn after at most so many tasks of connections: it looks first at what is urgent.
+const CORE_EVERY: u32 = 16;
 /// How often time passes for the core.
 const TICK: Duration = Duration::from_millis(50);
 /// An input that comes so long after the last tick takes the next one along: waking up costs more than a tick does.
@@ -37,7 +39,7 @@
 
 /// Runs a node until the process is killed.
 pub fn run(settings: Settings) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().event_interval(CORE_EVERY).build()?;
     runtime.block_on(serve(settings))
 }
 
@@ -52,7 +54,8 @@
     for seed in &settings.seeds {
         links.insert(seed.node.clone(), links::connect(seed, tell.clone()));
     }
-    let clients = clients::Clients::new(&settings, tell.clone());
+    let (urgent, mut first) = mpsc::channel::<Message>(QUEUE);
+    let clients = clients::Clients::new(&settings, tell.clone(), urgent);
     let start = Instant::now();
     let node = settings.node.clone();
     let mut controller = Controller::new(settings, SmallRng::from_os_rng().random());
@@ -64,13 +67,19 @@
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut ticked = Time::START;
     let mut along = false;
+    let mut probe = load::Probe::new();
+    let mut behind = None;
     loop {
-        let message = if std::mem::take(&mut along) {
+        let message = if let Some(by) = behind.take() {
+            Some(Message::Input(Input::Behind(by)))
+        } else if std::mem::take(&mut along) {
             Some(Message::Input(Input::Tick))
         } else {
             tokio::select! {
-                message = inbox.recv() => message,
+                biased;
+                message = first.recv() => message,
                 _ = tick.tick() => Some(Message::Input(Input::Tick)),
+                message = inbox.recv() => message,
             }
         };
         let input = match message {
@@ -99,6 +108,7 @@
         load.took(now, &input);
         if matches!(input, Input::Tick) {
             ticked = now;
+            behind = probe.look();
         } else if now.since(ticked) >= TICK_ALONG {
             tick.reset();
             along = true;
@@ -121,10 +131,7 @@
                         incoming.remove(&link);
                     }
                 }
-                Effect::State(slot, id, call) => {
-                    let patience = if slot == Slot::Leadership { 950 } else { 1450 };
-                    clients.state(slot, id, call, Duration::from_millis(patience));
-                }
+                Effect::State(slot, id, call) => clients.state(slot, id, call),
                 Effect::Cloud(token, id, call) => clients.cloud(token, id, call),
                 Effect::Command { token, machine, endpoint, id, body } => {
                     clients.command(token, machine, &endpoint, id, &body);
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -186,11 +186,18 @@
         }
     }
 
+    /// How often to plan, and to look at everything: less often when behind, for more tasks at once.
+    fn pace(&self) -> (Span, Span) {
+        let paced = |every: Span, most: u64| Span((every.0 + 2 * self.behind.0).min(most));
+        (paced(SCHEDULE_EVERY, 1000), paced(DEMAND_EVERY, 3000))
+    }
+
     pub(crate) fn maybe_schedule(&mut self, now: Time, wall: Wall, certain: bool, out: &mut Vec<Effect>) {
-        if !self.loaded() || self.fleet.flavors().is_none() || now.since(self.scheduled) < SCHEDULE_EVERY {
+        let (every, look_every) = self.pace();
+        if !self.loaded() || self.fleet.flavors().is_none() || now.since(self.scheduled) < every {
             return;
         }
-        let look = now.since(self.demanded) >= DEMAND_EVERY;
+        let look = now.since(self.demanded) >= look_every;
         if !self.dirty && !look {
             return;
         }
--- a/src/watching.rs
+++ b/src/watching.rs
@@ -156,7 +156,7 @@
         // What does not answer gets no more than half of the commands: when many machines fell silent together,
         // the others' starts waited behind theirs.
         probes.sort_unstable();
-        let most = self.settings.deployment.resources.commands_at_once();
+        let most = self.commands_at_once();
         for (_, id) in probes.into_iter().take((most / 2).saturating_sub(probing)) {
             if self.flights < most {
                 self.command(now, id, true, out);
