--- a/src/reign.rs
+++ b/src/reign.rs
@@ -525,7 +525,9 @@
         let showed = self.message(now, id, report);
         self.heard_of(now, id);
         self.enrol(certain, id);
-        if self.machines.get(&id).is_some_and(|m| !m.fenced) {
+        if self.machines.get(&id).is_some_and(|m| !m.fenced && m.told.0.0 > 0) {
+            // The answer to a worker's first report tells it our token, and it reports that at once; only where it does
+            // not a command asks.
             self.wanting.insert(id);
         }
         self.maybe_schedule(now, wall, certain, out);
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -245,14 +245,15 @@
     /// Its report is about to be answered, and what is ordered with the answer needs no command: each of those took a
     /// connection, and at 980 machines they were more than half of a leader's work.
     pub(crate) fn go_on(&mut self, now: Time, id: MachineId) {
-        if self.limited() || self.plans.server(id).is_none() || !self.machines.get(&id).is_some_and(Machine::usable) {
-            // What a team uses is counted over all machines, once a round.
+        if self.plans.server(id).is_none() || !self.machines.get(&id).is_some_and(Machine::usable) {
             return;
         }
         self.changed.remove(&id);
         let Some(server) = self.server_of(now, id) else { return self.plans.remove(id) };
         self.plans.refresh(server);
-        let mut used = HashMap::new();
+        // What a team with a limit uses is counted over all machines, once a round; until then it may be anything.
+        let most = u64::MAX / 4;
+        let mut used = HashMap::from([(String::new(), Room { cpus: most, gpus: most, memory: most })]);
         self.start_planned(now, &[id], &mut used);
         self.steal(now, &[id], &mut used);
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,6 +2,7 @@
 //!
 //! Unknown fields are ignored everywhere and null equals omitted.
 
+use crate::units::TaskId;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -43,9 +44,9 @@
 /// One task in a report.
 #[derive(Debug, Clone, Deserialize, Serialize)]
 pub struct ReportedTask {
-    /// Task id.
-    #[serde(rename = "Piece")]
-    pub task: String,
+    /// The task; `None` if its name has another form. Read in place: a leader reads some thousand names a second.
+    #[serde(rename = "Piece", with = "task_name")]
+    pub task: Option<TaskId>,
     /// Attempt.
     #[serde(rename = "Try")]
     pub attempt: u64,
@@ -60,6 +61,38 @@
     pub saved: Option<bool>,
 }
 
+/// A task's name as an id, without a string of its own in between.
+mod task_name {
+    use crate::units::TaskId;
+    use serde::{Deserializer, Serializer, de};
+    use std::fmt;
+
+    pub fn serialize<S: Serializer>(task: &Option<TaskId>, to: S) -> Result<S::Ok, S::Error> {
+        match task {
+            Some(task) => to.collect_str(task),
+            None => to.serialize_str(""),
+        }
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Option<TaskId>, D::Error> {
+        from.deserialize_str(Name)
+    }
+
+    struct Name;
+
+    impl de::Visitor<'_> for Name {
+        type Value = Option<TaskId>;
+
+        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            f.write_str("the name of a task")
+        }
+
+        fn visit_str<E: de::Error>(self, name: &str) -> Result<Option<TaskId>, E> {
+            Ok(name.parse().ok())
+        }
+    }
+}
+
 /// A task's state on its machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -304,15 +304,16 @@
             // What is on it can still change by an earlier leader's word.
             return;
         }
-        let mut shown = BTreeSet::new();
+        let mut shown = Vec::with_capacity(report.tasks.as_ref().map_or(0, Vec::len));
         for item in report.tasks.iter().flatten() {
-            let Ok(task) = item.task.parse::<TaskId>() else { continue };
+            let Some(task) = item.task else { continue };
             let attempt = Attempt(item.attempt);
-            shown.insert(attempt);
+            shown.push(attempt);
             self.shown(now, attempt, task, item.state, item.cause, out);
         }
+        shown.sort_unstable();
         let gone: Vec<Attempt> =
-            self.holds.iter().filter(|(a, h)| h.seen && !shown.contains(a)).map(|(a, _)| *a).collect();
+            self.holds.iter().filter(|(a, h)| h.seen && shown.binary_search(a).is_err()).map(|(a, _)| *a).collect();
         for attempt in gone {
             // Reaped, as ordered; a claimed one that vanished is treated as lost.
             if let Some(hold) = self.holds.remove(&attempt)
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -201,3 +201,22 @@
     }
     all_served(&sim);
 }
+
+/// The next task of a machine that reports an end goes with the answer. Each as a command of its own, on a connection of
+/// its own, was more than half of a leader's work at 980 machines.
+#[test]
+fn a_machine_that_goes_on_needs_no_command() {
+    let mut sim = Sim::at(Site::many_small(), 23);
+    for n in 0..12 {
+        sim.submit(&format!("job-{n:06}"), &array(250, 2.0, 10.0, "standard"));
+    }
+    sim.run_until(60_000);
+    let starts = |sim: &Sim| sim.starts.values().map(Vec::len).sum::<usize>() as u64;
+    let (commands, started) = (sim.commands, starts(&sim));
+    sim.run_until(120_000);
+    let (commands, started) = (sim.commands - commands, starts(&sim) - started);
+    assert!(started > 500, "{started} starts");
+    assert!(commands * 5 < started, "{commands} commands for {started} starts");
+    sim.run_until(300_000);
+    all_served(&sim);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -356,6 +356,8 @@
     answered_commands: BTreeSet<(usize, u64, u64)>,
     held: BTreeMap<u64, Vec<Event>>,
     pub starts: BTreeMap<String, Vec<u64>>,
+    /// Direct commands that nodes sent.
+    pub commands: u64,
     finished: BTreeSet<String>,
     pub hold_commands: BTreeSet<u64>,
     /// Machines whose reports arrive while answers and commands do not reach them.
@@ -416,6 +418,7 @@
             answered_commands: BTreeSet::new(),
             held: BTreeMap::new(),
             starts: BTreeMap::new(),
+            commands: 0,
             finished: BTreeSet::new(),
             hold_commands: BTreeSet::new(),
             deaf: BTreeSet::new(),
@@ -618,6 +621,7 @@
                     self.after(50 + delay, Event::Cloud(node, epoch, token, id, Box::new(call)));
                 }
                 Effect::Command { token, machine, id, body, .. } => {
+                    self.commands += 1;
                     let machine = machine.0;
                     if let Some(late) = self.repeated() {
                         self.after(late, Event::CommandRepeat(machine, Box::new(body.clone())));
@@ -943,7 +947,7 @@
         let w = self.workers.get_mut(&machine).expect("a worker");
         w.seq += 1;
         let tasks = w.tasks.iter().map(|(attempt, t)| ReportedTask {
-            task: t.task.clone(),
+            task: t.task.parse().ok(),
             attempt: *attempt,
             state: t.state,
             cause: t.cause.map(|c| serde_json::from_value(json!(c)).expect("a cause")),
