--- a/src/watching.rs
+++ b/src/watching.rs
@@ -79,6 +79,7 @@
         // If most machines are out of reach at once, and not because of a zone, it is this node that is cut off.
         let cut_off = self.look_for_zones(now, &unreached);
         let unfenced_zones = self.unfenced_zones();
+        let mute_zones = self.mute_zones();
         let mut events = Vec::new();
         let mut give_back: Vec<(MachineId, &'static str)> = Vec::new();
         let mut probes: Vec<(Time, MachineId)> = Vec::new();
@@ -120,12 +121,15 @@
                     true => zone.is_some_and(|z| now.since(z.since) < KEEP_ZONE),
                     false => within && now.since(self.since) < KEEP_ZONE,
                 };
-                let limit = match (alone, cut_off) {
+                // A zone of which nothing has answered a new leader is out of reach: to ask each of its machines twice
+                // took ten seconds, in which no older job was started.
+                let mute = !m.fenced && mute_zones.contains(&m.record.zone);
+                let limit = match (alone || mute, cut_off) {
                     (true, _) => COMMAND_TIMEOUT + COMMAND_TIMEOUT,
                     (false, true) => lease_over,
                     (false, false) => patience,
                 };
-                if now.since(m.reached) >= limit && m.unanswered >= 2 && !cut {
+                if now.since(m.reached) >= limit && (m.unanswered >= 2 || mute) && !cut {
                     let silent = now.since(m.heard) >= overdue || !m.fenced;
                     give_back.push((*id, if silent { "silent" } else { "takes nothing in" }));
                 }
@@ -177,6 +181,22 @@
         zones.into_iter().filter(|(_, (all, unfenced))| unfenced * 2 > *all).map(|(z, _)| z.to_string()).collect()
     }
 
+    /// Zones of which no machine has answered this leader, several of them not twice, while most others have.
+    fn mute_zones(&self) -> BTreeSet<String> {
+        let mut zones: HashMap<&str, usize> = HashMap::new();
+        let unfenced = self.unfenced.len();
+        if unfenced == 0 || unfenced * 2 > self.machines.len() {
+            return BTreeSet::new();
+        }
+        for m in self.machines.values() {
+            *zones.entry(&m.record.zone).or_default() += usize::from(!m.fenced && m.unanswered >= 2);
+        }
+        for m in self.machines.values().filter(|m| m.fenced) {
+            zones.remove(m.record.zone.as_str());
+        }
+        zones.into_iter().filter(|(_, mute)| *mute >= FEW).map(|(zone, _)| zone.to_string()).collect()
+    }
+
     /// Notes zones that are out of reach while others are not; true if all zones are.
     ///
     /// Either nothing has reached any machine of a zone for so long that many would have come back, or most of its
