Where a team with a limit waits, starts are left to the round, so that lower tasks do not take its room

Cause, found by reading: between rounds nothing is known of what a limited team uses, so its tasks were passed over and lower ones started with the answers; in the kept test a job of such a team was still queued after 80 s.

--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -248,16 +248,28 @@
         if self.plans.server(id).is_none() || !self.machines.get(&id).is_some_and(Machine::usable) {
             return;
         }
+        if self.limited() && self.plans.waiting().any(|(_, job, _)| self.has_limit(job)) {
+            // What a team with a limit uses is counted over all machines, once a round. Until then its tasks could not
+            // start, and lower ones would take the room.
+            return;
+        }
         self.changed.remove(&id);
         let Some(server) = self.server_of(now, id) else { return self.plans.remove(id) };
         self.plans.refresh(server);
-        // What a team with a limit uses is counted over all machines, once a round; until then it may be anything.
+        // Nothing of a team with a limit waits; if it did, what it uses may be anything.
         let most = u64::MAX / 4;
         let mut used = HashMap::from([(String::new(), Room { cpus: most, gpus: most, memory: most })]);
         self.start_planned(now, &[id], &mut used);
         self.steal(now, &[id], &mut used);
     }
 
+    /// Whether this job's team has a limit.
+    fn has_limit(&self, job: JobId) -> bool {
+        let Some(job) = self.book.get(job) else { return false };
+        let team = self.settings.deployment.teams.iter().find(|t| t.name == job.record.team);
+        team.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+    }
+
     /// Whether any team has a limit.
     pub(crate) fn limited(&self) -> bool {
         self.settings.deployment.teams.iter().any(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -220,3 +220,19 @@
     sim.run_until(300_000);
     all_served(&sim);
 }
+
+/// Between rounds nothing is known of what a team with a limit uses: room that is free goes to its tasks all the same, by
+/// their rank, and not to lower ones that need no such count.
+#[test]
+fn a_team_with_a_limit_is_not_overtaken_between_rounds() {
+    let mut sim = Sim::new(29);
+    for n in 0..8 {
+        sim.submit(&format!("job-{n:06}"), &array(60, 4.0, 4.0, "low"));
+    }
+    sim.run_until(30_000);
+    let small = [array(12, 4.0, 4.0, "standard"), vec![("Crew", json!("small")), ("Spread", json!(false))]].concat();
+    sim.submit("job-000100", &small);
+    sim.run_until(110_000);
+    assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+    assert_eq!(sim.jobs["job-000100"].told, "done");
+}
