--- a/benches/node.rs
+++ b/benches/node.rs
@@ -8,9 +8,7 @@
 mod support;
 
 use bytes::Bytes;
-use caperstile::store::StateCall;
-use caperstile::units::{LeaseId, Span};
-use caperstile::wire::{Commands, LeaseRequest, Order, RentRequest, ReportAnswer, Txn};
+use caperstile::wire::{Commands, Order, RentRequest, ReportAnswer};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -18,7 +16,7 @@
 use std::process::{Child, Command};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::State;
+use support::{State, state_call};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use warp::Filter;
@@ -189,22 +187,6 @@
     }
 }
 
-fn state_service(shared: &mut Shared, now: u64, path: &str, query: &str, body: &[u8]) -> (u16, Value) {
-    let call = if path == "/txn" {
-        StateCall::Txn(serde_json::from_slice::<Txn>(body).unwrap())
-    } else if path == "/leases" {
-        StateCall::Grant(Span(serde_json::from_slice::<LeaseRequest>(body).unwrap().ttl_ms))
-    } else if let Some(rest) = path.strip_prefix("/leases/") {
-        StateCall::Renew(LeaseId(rest.strip_suffix("/extend").unwrap().parse().unwrap()))
-    } else if let Some(key) = path.strip_prefix("/keys/") {
-        StateCall::Get(key.to_string())
-    } else {
-        let field = |name: &str| query.split('&').find_map(|p| p.strip_prefix(name)).map(str::to_string);
-        StateCall::Scan { prefix: field("Under=").unwrap_or_default(), after: field("Since=") }
-    };
-    shared.state.handle(now, 0, &call)
-}
-
 async fn serve(shared: Arc<Mutex<Shared>>, part: u8, nodes: Vec<SocketAddr>, every: f64) -> SocketAddr {
     let start = Instant::now();
     let query = warp::query::raw().or(warp::any().map(String::new)).unify();
@@ -213,7 +195,7 @@
             let mut held = shared.lock().unwrap();
             let now = start.elapsed().as_millis() as u64;
             let (status, answer) = match (part, path.as_str()) {
-                (0, path) => state_service(&mut held, now, path, &query, &body),
+                (0, path) => held.state.handle(now, 0, &state_call(path, &query, &body)),
                 (_, "/flavors") => (
                     200,
                     json!({"Builds": [{"Label": "big", "Cores": 32, "MemoryGb": 128.0, "FetchGbPerS": 1.0,
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -5,9 +5,7 @@
 mod support;
 
 use bytes::Bytes;
-use caperstile::store::StateCall;
-use caperstile::units::{LeaseId, Span};
-use caperstile::wire::{Commands, LeaseRequest, Order, RentRequest, ReportAnswer, Txn};
+use caperstile::wire::{Commands, Order, RentRequest, ReportAnswer};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -15,7 +13,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use support::State;
+use support::{State, state_call};
 use warp::Filter;
 use warp::http::{Method, Response, StatusCode};
 
@@ -104,20 +102,8 @@
 }
 
 fn state_service(world: &mut World, now: u64, method: &Method, path: &str, query: &str, body: &[u8]) -> (u16, Value) {
-    let call = if path == "/txn" {
-        StateCall::Txn(serde_json::from_slice::<Txn>(body).unwrap())
-    } else if path == "/leases" {
-        StateCall::Grant(Span(serde_json::from_slice::<LeaseRequest>(body).unwrap().ttl_ms))
-    } else if let Some(rest) = path.strip_prefix("/leases/") {
-        StateCall::Renew(LeaseId(rest.strip_suffix("/extend").unwrap().parse().unwrap()))
-    } else if let Some(key) = path.strip_prefix("/keys/") {
-        StateCall::Get(key.to_string())
-    } else {
-        let field = |name: &str| query.split('&').find_map(|p| p.strip_prefix(name)).map(str::to_string);
-        StateCall::Scan { prefix: field("Under=").unwrap_or_default(), after: field("Since=") }
-    };
     assert!(matches!(method, &Method::GET | &Method::POST));
-    world.state.handle(now, 0, &call)
+    world.state.handle(now, 0, &state_call(path, query, body))
 }
 
 fn serve_stand_ins(world: &Arc<Mutex<World>>) -> Vec<SocketAddr> {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,8 +9,8 @@
 use caperstile::peers::{Answer, UserCall};
 use caperstile::settings::Settings;
 use caperstile::store::{Reply, StateCall};
-use caperstile::units::{MachineId, Span, Time, Wall};
-use caperstile::wire::{Change, Commands, Order, Report, ReportAnswer, ReportedTask, TaskState, Txn};
+use caperstile::units::{LeaseId, MachineId, Span, Time, Wall};
+use caperstile::wire::{Change, Commands, LeaseRequest, Order, Report, ReportAnswer, ReportedTask, TaskState, Txn};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -166,6 +166,22 @@
     }
 }
 
+/// What a request over HTTP asks of the state service.
+pub fn state_call(path: &str, query: &str, body: &[u8]) -> StateCall {
+    if path == "/txn" {
+        StateCall::Txn(serde_json::from_slice(body).expect("a transaction"))
+    } else if path == "/leases" {
+        StateCall::Grant(Span(serde_json::from_slice::<LeaseRequest>(body).expect("a lease request").ttl_ms))
+    } else if let Some(rest) = path.strip_prefix("/leases/") {
+        StateCall::Renew(LeaseId(rest.strip_suffix("/extend").and_then(|id| id.parse().ok()).expect("a lease")))
+    } else if let Some(key) = path.strip_prefix("/keys/") {
+        StateCall::Get(key.to_string())
+    } else {
+        let field = |name: &str| query.split('&').find_map(|p| p.strip_prefix(name)).map(str::to_string);
+        StateCall::Scan { prefix: field("Under=").unwrap_or_default(), after: field("Since=") }
+    }
+}
+
 impl State {
     fn expire(&mut self, now: u64) {
         let over: Vec<u64> = self.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(id, _)| *id).collect();
