A cancellation stops its tasks before it is written; answers before fencing stop what is over

Changed: Reign::withdraw orders the stop before the commit is sent; answers to machines that are not fenced stop what the report shows of jobs that are over; a saving task gets a second order; a job that is being cancelled claims nothing; tasks of unknown room on machines of unknown size count as unlimited for teams with limits. Ruled out: telling a cancellation that was read back only when all machines are fenced. It would keep users without any answer for as long as a zone is kept (60 s), again with each new leader. Stand-ins learn: mute machines, hangs, transactions without answer carried out at once or late, reports kept for the next leader, close looks at all nodes, a slow state service, a cloud that is out, starts after a confirmed cancellation, tasks that wait for 90 s beside room, other answers than before on a repeat.

--- a/src/reign.rs
+++ b/src/reign.rs
@@ -314,6 +314,7 @@
             return Some(unavailable("leadership is in doubt"));
         }
         let open = self.open();
+        let mut stops = Vec::new();
         let Some(job) = self.book.get_mut(job_id) else { return Some(self.get(certain, id)) };
         if !job.durable {
             return Some(unavailable("not accepted yet"));
@@ -327,9 +328,17 @@
         // With all tasks done its state will be `done` as soon as that is durable.
         if !job.cancelling && job.done.len() < job.record.tasks {
             job.cancelling = true;
+            stops.extend(job.placed.values().copied());
             self.plans.remove_job(job_id);
             self.records.push(Record::Cancelled(job_id));
         }
+        // Stopped before the fact is written, not once it is known to be durable: if the answer to the commit is lost,
+        // the next leader reads the fact and confirms it, while this one may go on renewing the leases. A leader
+        // that never learnt that its commit was carried out let the tasks run on through an outage. If it was not
+        // carried out, the tasks wait again.
+        for placed in stops {
+            self.stop(placed.machine, placed.attempt, 0.0);
+        }
         None
     }
 
@@ -535,7 +544,12 @@
         }
         if let Some(machine) = self.machines.get_mut(&id) {
             let keep = self.settings.deployment.workers.copies_over();
-            let orders = if machine.fenced { machine.orders(now, keep) } else { Vec::new() };
+            let orders = match machine.fenced {
+                true => machine.orders(now, keep),
+                // The answer renews the lease, whatever runs there. What is cancelled must not run on by that: each new
+                // leader of a chain renewed it once, and the machine was out of reach before the next report.
+                false => workers::kills(report, &|job| self.book.ended(job).is_some()),
+            };
             machine.answered = now;
             machine.told = machine.last_report;
             let body = serde_json::to_string(&ReportAnswer { token: self.token.0, orders }).unwrap_or_default();
@@ -652,7 +666,7 @@
         hold.image.clone_from(&job.record.image);
         hold.predicted = (!job.record.service).then_some(job.record.estimate);
         let running = hold.phase == Phase::Running;
-        if job.pending.remove(task.index) {
+        if !job.cancelling && job.pending.remove(task.index) {
             job.placed.insert(task.index, intake::Placed { machine: id, attempt, running });
             hold.claimed = true;
             hold.stop = None;
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -24,6 +24,9 @@
 /// To this rank, for its first task: before all but services, which it must not push aside.
 const PROMOTED: u8 = 1;
 
+/// Used by tasks of which nothing is known: no limited team may start anything beside it.
+const UNKNOWN: Room = Room { cpus: u64::MAX >> 32, gpus: u64::MAX >> 32, memory: u64::MAX >> 32 };
+
 /// The parts of a reign that planning reads, borrowed beside the plan itself.
 pub(crate) struct View<'a> {
     book: &'a intake::JobBook,
@@ -257,8 +260,7 @@
         let Some(server) = self.server_of(now, id) else { return self.plans.remove(id) };
         self.plans.refresh(server);
         // Nothing of a team with a limit waits; if it did, what it uses may be anything.
-        let most = u64::MAX / 4;
-        let mut used = HashMap::from([(String::new(), Room { cpus: most, gpus: most, memory: most })]);
+        let mut used = HashMap::from([(String::new(), UNKNOWN)]);
         self.start_planned(now, &[id], &mut used);
         self.steal(now, &[id], &mut used);
     }
@@ -365,6 +367,8 @@
                 // counts for all that are limited.
                 let team = self.book.get(hold.task.job).map_or("", |j| j.record.team.as_str());
                 let need = if hold.need == Room::default() { machine.capacity } else { hold.need };
+                // Of a machine whose room is not known either, anything may be used.
+                let need = if need == Room::default() { UNKNOWN } else { need };
                 used.entry(team.to_string()).or_default().add(&need);
             }
         }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -4,7 +4,7 @@
 //! then on nothing that an earlier leader sent can start or stop a task there.
 
 use crate::records::MachineRecord;
-use crate::units::{Attempt, MachineId, Room, Seq, Session, Span, TaskId, Time, Token};
+use crate::units::{Attempt, JobId, MachineId, Room, Seq, Session, Span, TaskId, Time, Token};
 use crate::wire::{Cause, Order, Report, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -105,6 +105,15 @@
     pub sent: Time,
 }
 
+/// Orders to end what a report shows of jobs that are over.
+pub fn kills(report: &Report, over: &dyn Fn(JobId) -> bool) -> Vec<Order> {
+    let shown = report.tasks.iter().flatten().filter(|t| t.state != TaskState::Exited);
+    let kill = |(task, attempt): (TaskId, u64)| {
+        over(task.job).then(|| Order::Kill { task: task.to_string(), attempt, grace_s: 0.0 })
+    };
+    shown.filter_map(|t| kill((t.task?, t.attempt))).take(ORDERS_LIMIT).collect()
+}
+
 /// A machine whose worker has reported, or that an earlier leader enrolled.
 #[derive(Debug)]
 pub struct Machine {
@@ -153,7 +162,7 @@
     /// Idle since.
     pub idle_since: Option<Time>,
     /// Different jobs that failed here since the last success.
-    pub failed_jobs: BTreeSet<crate::units::JobId>,
+    pub failed_jobs: BTreeSet<JobId>,
 }
 
 /// What a message of a worker showed.
@@ -431,8 +440,9 @@
                 hold.start_sent = true;
                 orders.push(Order::Run { task: task.to_string(), attempt });
             }
+            // One that saves is ended by a second order, when there is nothing to save it for any more.
             if let Some(grace_s) = hold.stop
-                && hold.phase != Phase::Saving
+                && (hold.phase != Phase::Saving || grace_s == 0.0)
             {
                 hold.stop_sent = true;
                 orders.push(Order::Kill { task: task.to_string(), attempt, grace_s });
@@ -625,6 +635,21 @@
         assert!(m.orders(Time(1), Span(0)).is_empty(), "a late copy would start it anew");
     }
 
+    /// A task that was saving when its job was cancelled got no second order, and went on for as long as it saved.
+    #[test]
+    fn a_task_that_saves_is_ended_by_a_second_order() {
+        let mut m = machine();
+        m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::None));
+        m.fenced = true;
+        m.stop(Attempt(1), 10.0);
+        let saving = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "flushing"}]);
+        m.message(Time(1), &report(1, 1, 7, saving), Token(7), &mut Vec::new());
+        assert!(m.orders(Time(1), Span(0)).is_empty(), "it may save");
+        m.stop(Attempt(1), 0.0);
+        let kill = Order::Kill { task: "job-000001/0".into(), attempt: 1, grace_s: 0.0 };
+        assert_eq!(m.orders(Time(2), Span(0)), [kill]);
+    }
+
     /// A copy of an answered command, carried out late, started a task anew that had been reaped.
     #[test]
     fn what_a_direct_command_started_is_reaped_only_when_no_copy_comes_any_more() {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -31,6 +31,16 @@
     Uncorner,
     Bounce(usize, u64),
     Blink(u64, u64),
+    Mute(u64),
+    Hang(u64, u64),
+    LateWrites(u64, bool),
+    KeptForNext(u64),
+    CloseLooks(bool),
+    CloudDown(bool),
+    /// The state service refuses the leader alone, and after so long everybody.
+    RefuseOneThenAll(u64),
+    /// Jobs are called off at the same moment, and their machines hang for so long.
+    CancelNow(u64),
     Submit(u8),
     Cancel(u8),
 }
@@ -59,7 +69,15 @@
         1 => Just(Fault::Together),
         2 => node.clone().prop_map(Fault::Island),
         2 => (node.clone(), 50u64..900).prop_map(|(n, ms)| Fault::Bounce(n, ms)),
-        1 => (machine, 50u64..900).prop_map(|(m, ms)| Fault::Blink(m, ms)),
+        1 => (machine.clone(), 50u64..900).prop_map(|(m, ms)| Fault::Blink(m, ms)),
+        1 => machine.clone().prop_map(Fault::Mute),
+        2 => (machine, 1000u64..30_000).prop_map(|(m, ms)| Fault::Hang(m, ms)),
+        1 => (0u64..90, any::<bool>()).prop_map(|(share, at_once)| Fault::LateWrites(share, at_once)),
+        1 => (0u64..60).prop_map(Fault::KeptForNext),
+        1 => any::<bool>().prop_map(Fault::CloseLooks),
+        1 => any::<bool>().prop_map(Fault::CloudDown),
+        2 => (0u64..4000).prop_map(Fault::RefuseOneThenAll),
+        2 => (0u64..30_000).prop_map(Fault::CancelNow),
         5 => any::<u8>().prop_map(Fault::Submit),
         2 => any::<u8>().prop_map(Fault::Cancel),
     ]
@@ -113,6 +131,26 @@
                 sim.blink(m, *ms);
             }
         }
+        Fault::Mute(n) => sim.mute.extend(nth(sim, *n)),
+        Fault::Hang(n, ms) => nth(sim, *n).into_iter().for_each(|m| sim.hang(m, *ms)),
+        Fault::LateWrites(share, at_once) => sim.late_writes = (*share, *at_once),
+        Fault::KeptForNext(share) => sim.kept_for_next = *share,
+        Fault::CloseLooks(on) => sim.close_looks = *on,
+        Fault::CloudDown(down) => sim.cloud_down = *down,
+        Fault::RefuseOneThenAll(ms) => {
+            sim.state.deaf.extend(sim.leader());
+            let until = sim.now + ms;
+            sim.run_until(until);
+            sim.state.down = true;
+        }
+        Fault::CancelNow(ms) => {
+            let open = |j: &&String| sim.jobs[*j].accepted && !matches!(sim.jobs[*j].told.as_str(), "done" | "aborted");
+            let jobs: Vec<String> = sim.jobs.keys().filter(open).take(3).cloned().collect();
+            for id in &jobs {
+                nth(sim, *ms).filter(|_| *ms > 1000).into_iter().for_each(|m| sim.hang(m, *ms));
+                sim.cancel(id);
+            }
+        }
         Fault::Submit(n) if !sim.jobs.contains_key(&name(*n)) => {
             let id = name(*n);
             match n % 4 {
@@ -159,7 +197,7 @@
             ("Pieces", json!(3)), ("Spread", json!(true)), ("Cores", json!(1.0))]);
         let mut at = 8000;
         for (gap, fault) in &faults {
-            at += gap;
+            at = at.max(sim.now) + gap;
             sim.run_until(at);
             inject(&mut sim, fault);
             prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -295,6 +295,8 @@
     notice_until: Option<u64>,
     pub sick: bool,
     pub cut: bool,
+    /// Hangs: it executes nothing, and what comes waits, until it goes on.
+    hung: bool,
     alive: bool,
     up: bool,
 }
@@ -320,6 +322,23 @@
     User(String, UserCall),
     Start(usize),
     Heal(u64),
+    GoOn(u64),
+    Look(usize, String, UserCall),
+}
+
+impl Event {
+    /// The machine that has to execute something for this.
+    fn executed_by(&self) -> Option<u64> {
+        match self {
+            Event::Command { machine, .. }
+            | Event::CommandRepeat(machine, _)
+            | Event::WorkerTick(machine)
+            | Event::WorkerAnswer { machine, .. }
+            | Event::Fetched(machine, ..)
+            | Event::Ran(machine, ..) => Some(*machine),
+            _ => None,
+        }
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -378,6 +397,32 @@
     pub hold_commands: BTreeSet<u64>,
     /// Machines whose reports arrive while answers and commands do not reach them.
     pub deaf: BTreeSet<u64>,
+    /// Machines that reach no controller, while direct commands reach them.
+    pub mute: BTreeSet<u64>,
+    /// What waits for machines that hang.
+    frozen: BTreeMap<u64, Vec<Event>>,
+    /// Of a hundred transactions so many get no answer; carried out at once, or 2 to 12 s later, after newer ones.
+    pub late_writes: (u64, bool),
+    /// The state service takes so long over each request, and so long again until the answer is there.
+    pub state_slow: u64,
+    /// Of a hundred reports so many are kept, and arrive at every controller as soon as the next leader begins.
+    pub kept_for_next: u64,
+    kept: Vec<(u64, Box<Report>)>,
+    /// The highest token under which a node has led.
+    led: u64,
+    /// Users ask at all nodes, and repeat what they sent, right after they were told something new.
+    pub close_looks: bool,
+    /// The cloud answers nothing but 503.
+    pub cloud_down: bool,
+    /// Cancellations and questions that were answered with 503.
+    pub refused: (u64, u64),
+    /// Starts of tasks after their job was confirmed as cancelled, within `cancel_ms`.
+    pub late_starts: u64,
+    /// Since when each job has had a task that waits while a machine that fits has room.
+    passed_over: BTreeMap<String, u64>,
+    waiting_at: u64,
+    /// Cancelled tasks that were found running too late: each is told once.
+    overran: BTreeSet<String>,
     /// Nodes without state service and other nodes, but with their workers and users.
     pub cornered: BTreeSet<usize>,
     /// Nodes that no worker reaches, nor they any worker.
@@ -438,6 +483,20 @@
             finished: BTreeSet::new(),
             hold_commands: BTreeSet::new(),
             deaf: BTreeSet::new(),
+            mute: BTreeSet::new(),
+            frozen: BTreeMap::new(),
+            late_writes: (0, false),
+            state_slow: 0,
+            kept_for_next: 0,
+            kept: Vec::new(),
+            led: 0,
+            close_looks: false,
+            cloud_down: false,
+            refused: (0, 0),
+            late_starts: 0,
+            passed_over: BTreeMap::new(),
+            waiting_at: 0,
+            overran: BTreeSet::new(),
             cornered: BTreeSet::new(),
             apart: BTreeSet::new(),
             island: None,
@@ -539,6 +598,11 @@
     /// A process that ends and is back after a moment.
     pub fn bounce(&mut self, node: usize, after: u64) {
         self.crash(node);
+        self.bounce_back(node, after);
+    }
+
+    /// A process that ended is back after so long.
+    pub fn bounce_back(&mut self, node: usize, after: u64) {
         self.after(after, Event::Start(node));
     }
 
@@ -548,9 +612,34 @@
         self.after(after, Event::Heal(machine));
     }
 
+    /// A machine that hangs for so long. It may go on within its lease; if that is over, so are its tasks.
+    pub fn hang(&mut self, machine: u64, ms: u64) {
+        if let Some(w) = self.workers.get_mut(&machine)
+            && !std::mem::replace(&mut w.hung, true)
+        {
+            self.after(ms, Event::GoOn(machine));
+        }
+    }
+
+    /// A machine that hung goes on: what waits is executed.
+    fn go_on(&mut self, machine: u64) {
+        if let Some(w) = self.workers.get_mut(&machine) {
+            w.hung = false;
+            for event in self.frozen.remove(&machine).unwrap_or_default() {
+                self.after(1, event);
+            }
+        }
+    }
+
     /// All troubles are over, whatever they were.
     pub fn mend(&mut self) {
         self.state.down = false;
+        self.state.mute = 0;
+        self.mute.clear();
+        self.late_writes = (0, false);
+        self.state_slow = 0;
+        self.kept_for_next = 0;
+        self.cloud_down = false;
         self.state.writes_left = None;
         self.state.deaf.clear();
         self.copies = (0, 0);
@@ -562,6 +651,7 @@
         let machines: Vec<u64> = self.workers.keys().copied().collect();
         for m in machines {
             self.heal(m);
+            self.go_on(m);
         }
         self.mended_at = Some(self.now);
     }
@@ -612,6 +702,17 @@
         let Some(controller) = &mut self.nodes[node] else { return };
         let effects = controller.handle(now, wall, input);
         let epoch = self.epochs[node];
+        let token = controller.reign().map_or(0, |r| r.token().0);
+        if token > self.led {
+            self.led = token;
+            for (machine, report) in std::mem::take(&mut self.kept) {
+                for to in 0..self.site.nodes {
+                    self.requests += 1;
+                    let (copy, soon) = (self.requests * self.count() + to as u64, self.chance(400));
+                    self.after(soon, Event::Report(machine, copy, report.clone()));
+                }
+            }
+        }
         for effect in effects {
             let delay = 1 + self.chance(4);
             match effect {
@@ -631,7 +732,7 @@
                     if let Some(late) = self.repeated() {
                         self.after(late, Event::StateRepeat(Box::new(call.clone())));
                     }
-                    self.after(delay, Event::State(node, epoch, slot, id, Box::new(call)));
+                    self.after(delay + self.state_slow, Event::State(node, epoch, slot, id, Box::new(call)));
                 }
                 Effect::Cloud(token, id, call) => {
                     self.after(50 + delay, Event::Cloud(node, epoch, token, id, Box::new(call)));
@@ -767,13 +868,17 @@
             UserCall::Get(_) => {}
         }
         if matches!(answer.status, 503 | 429) {
+            self.refused.0 += u64::from(matches!(call, UserCall::Withdraw(_)));
+            self.refused.1 += u64::from(matches!(call, UserCall::Get(_)));
             if !matches!(call, UserCall::Get(_)) {
                 self.after(1000, Event::User(id.to_string(), call));
             }
             return;
         }
         if answer.status == 404 {
-            if job.accepted {
+            if job.accepted && asked <= job.accepted_at {
+                // It was under way when another node accepted the job.
+            } else if job.accepted {
                 self.broken.push(format!("{now} forgotten: {id}"));
             } else {
                 job.told = "404".into();
@@ -781,9 +886,13 @@
             return;
         }
         if !matches!(answer.status, 200 | 201) {
+            if job.accepted {
+                self.broken.push(format!("{now} forgotten: {id} is answered {} on a repeat", answer.status));
+            }
             job.told = answer.status.to_string();
             return;
         }
+        let mut news = !job.accepted;
         if !std::mem::replace(&mut job.accepted, true) {
             job.accepted_at = now;
         }
@@ -807,9 +916,29 @@
             self.broken.push(format!("{now} not_done: {id}"));
         }
         if matches!(status.as_str(), "done" | "aborted") {
+            news |= job.over_at.is_none();
             job.over_at.get_or_insert(now);
         }
         job.told = status;
+        if news && self.close_looks {
+            self.look_closely(id);
+        }
+    }
+
+    /// Users ask at all nodes within milliseconds, again and again, and repeat the submission; some cancel at once.
+    fn look_closely(&mut self, id: &str) {
+        let submission = UserCall::Submit(self.jobs[id].spec.to_string().into_bytes());
+        for node in 0..self.site.nodes {
+            for gap in [1, 4, 15, 60] {
+                let soon = gap + self.chance(gap);
+                self.after(soon, Event::Look(node, id.to_string(), UserCall::Get(id.to_string())));
+            }
+            let soon = 1 + self.chance(30);
+            self.after(soon, Event::Look(node, id.to_string(), submission.clone()));
+        }
+        if self.jobs[id].over_at.is_none() && self.chance(4) == 0 {
+            self.cancel(id);
+        }
     }
 
     fn all_finished(&self, id: &str) -> bool {
@@ -820,6 +949,9 @@
     // ---- cloud ----
 
     fn cloud(&mut self, call: &CloudCall) -> (u16, Value) {
+        if self.cloud_down {
+            return (503, json!({"error": "trouble"}));
+        }
         match call {
             CloudCall::Flavors => (
                 200,
@@ -859,6 +991,7 @@
                             renewed: 0,
                             notice_until: None,
                             sick: false,
+                            hung: false,
                             cut: self.cut_zones.contains(&request.zone),
                             alive: true,
                             up: false,
@@ -877,6 +1010,7 @@
                     }
                     self.held.remove(&id.0);
                     self.deaf.remove(&id.0);
+                    self.frozen.remove(&id.0);
                 }
                 (200, json!({}))
             }
@@ -941,6 +1075,7 @@
     /// Ends a cut or deafness: what was held back is delivered, in order.
     pub fn heal(&mut self, machine: u64) {
         self.deaf.remove(&machine);
+        self.mute.remove(&machine);
         self.hold_commands.remove(&machine);
         if let Some(w) = self.workers.get_mut(&machine) {
             w.cut = false;
@@ -1017,6 +1152,9 @@
         if let Some(w) = self.workers.get_mut(&machine) {
             w.waiting = Some(number);
         }
+        if self.kept_for_next > 0 && self.chance(100) < self.kept_for_next {
+            self.kept.push((machine, report.clone()));
+        }
         if self.copies.0 > 0 && self.chance(100) < self.copies.0 {
             self.requests += 1;
             let (to, late) = (self.chance(self.count()), 500 + self.chance(self.copies.1.max(1)));
@@ -1185,6 +1323,12 @@
         let image = job.spec["Reel"].as_str().unwrap_or_default().to_string();
         let run = (job.spec["RuntimeS"].as_f64().unwrap_or(0.0) * 1000.0) as u64;
         let service = job.spec["Shape"] == "standing";
+        if let Some(at) = job.cancelled_at {
+            self.late_starts += 1;
+            if now > at + self.site.cancel_ms {
+                broken.push(format!("{now} ran_cancelled: {task} starts"));
+            }
+        }
         self.broken.extend(broken);
         self.active.entry(id).or_default().push((machine, attempt));
         self.starts.entry(task).or_default().push(machine);
@@ -1211,7 +1355,10 @@
             }
             let event = self.queue.remove(&(at, seq)).expect("it is there");
             self.now = at;
-            self.step(event);
+            match event.executed_by().filter(|m| self.workers.get(m).is_some_and(|w| w.hung)) {
+                Some(machine) => self.frozen.entry(machine).or_default().push(event),
+                None => self.step(event),
+            }
             self.check_cancelled();
         }
         self.now = until;
@@ -1223,20 +1370,68 @@
             return;
         }
         self.checked_at = now;
+        self.check_waiting();
         if self.jobs.values().all(|j| j.cancelled_at.is_none()) {
             return;
         }
         let cancel_ms = self.site.cancel_ms;
-        for w in self.workers.values() {
+        for w in self.workers.values().filter(|w| !w.hung) {
             for t in w.tasks.values().filter(|t| matches!(t.state, TaskState::Running | TaskState::Flushing)) {
                 let job = &self.jobs[t.task.split('/').next().unwrap()];
-                if job.cancelled_at.is_some_and(|at| now > at + cancel_ms) {
+                if job.cancelled_at.is_some_and(|at| now > at + cancel_ms) && self.overran.insert(t.task.clone()) {
                     self.broken.push(format!("{now} ran_cancelled: {}", t.task));
                 }
             }
         }
     }
 
+    /// Troubles over, no task may wait for 90 s while a machine that fits has room and its team is under its limit.
+    /// Looked at from outside: by what is on the workers.
+    fn check_waiting(&mut self) {
+        let Some(mended) = self.mended_at else { return };
+        if self.now < self.waiting_at + 1000 {
+            return;
+        }
+        self.waiting_at = self.now;
+        let cores = |task: &str| self.jobs[task.split('/').next().unwrap()].spec["Cores"].as_f64().unwrap();
+        let on = |w: &Worker| -> Vec<String> {
+            w.tasks.values().filter(|t| t.state != TaskState::Exited).map(|t| t.task.clone()).collect()
+        };
+        let held: Vec<String> = self.workers.values().flat_map(on).collect();
+        let small: f64 = held
+            .iter()
+            .filter(|t| self.jobs[t.split('/').next().unwrap()].spec["Crew"] == "small")
+            .map(|t| cores(t))
+            .sum();
+        let mut passed_over = BTreeMap::new();
+        for (id, job) in self.jobs.iter().filter(|(_, j)| j.accepted && !j.withdrawing && j.over_at.is_none()) {
+            let need = job.spec["Cores"].as_f64().unwrap();
+            let waits = |i: &u64| {
+                let task = format!("{id}/{i}");
+                !self.finished.contains(&task) && !held.contains(&task)
+            };
+            if !(0..job.pieces()).any(|i| waits(&i)) || (job.spec["Crew"] == "small" && small + need > 4.0) {
+                continue;
+            }
+            let roomy = |w: &Worker| {
+                let used: f64 = on(w).iter().map(|t| cores(t)).sum();
+                let allowed = (job.spec["Loaners"] == true || !w.spot)
+                    && job.spec["Yard"].as_str().is_none_or(|z| z == w.zone)
+                    && job.spec["Spread"] == false
+                    && job.spec["Together"] == false;
+                w.up && w.alive && !w.sick && w.notice_until.is_none() && allowed && used + need <= self.site.cores
+            };
+            if self.workers.values().any(roomy) {
+                let since = self.passed_over.get(id).copied().unwrap_or(self.now).max(mended);
+                if self.now > since + 90_000 {
+                    self.broken.push(format!("{} waits: {id} although a machine has room", self.now));
+                }
+                passed_over.insert(id.clone(), since);
+            }
+        }
+        self.passed_over = passed_over;
+    }
+
     fn step(&mut self, event: Event) {
         match event {
             Event::Tick(node, epoch) => {
@@ -1252,6 +1447,14 @@
             }
             Event::State(node, epoch, slot, id, call) => {
                 self.check_enrolled(&call);
+                let refused = self.state.down || self.state.deaf.contains(&node);
+                let (share, at_once) = self.late_writes;
+                if matches!(*call, StateCall::Txn(_)) && !refused && share > 0 && self.chance(100) < share {
+                    let late = if at_once { 0 } else { 2000 + self.chance(10_000) };
+                    self.after(late, Event::StateRepeat(call));
+                    let none = Input::State(slot, id, Reply::none());
+                    return self.after(950, Event::Input(node, epoch, Box::new(none)));
+                }
                 let (status, body) = self.state.handle(self.now, node, &call);
                 let reply = if self.state.mute > 0 && status != 503 {
                     self.state.mute -= 1;
@@ -1259,7 +1462,7 @@
                 } else {
                     Reply { status, body: body.to_string().into() }
                 };
-                let delay = if reply.status == 0 { 950 } else { 1 + self.chance(4) };
+                let delay = if reply.status == 0 { 950 } else { 1 + self.chance(4) } + self.state_slow;
                 self.after(delay, Event::Input(node, epoch, Box::new(Input::State(slot, id, reply))));
             }
             Event::StateRepeat(call) => {
@@ -1305,7 +1508,7 @@
                     return self.held.entry(machine).or_default().push(Event::Report(machine, number, report));
                 }
                 let node = (number % self.count()) as usize;
-                if !self.reaches(node, machine) {
+                if !self.reaches(node, machine) || self.mute.contains(&machine) {
                     return; // the worker waits for its answer in vain
                 }
                 if self.nodes[node].is_none() {
@@ -1329,6 +1532,9 @@
                 if w.waiting != Some(number) || w.cut || self.deaf.contains(&machine) {
                     return;
                 }
+                if self.now > sent + 4000 {
+                    return self.worker_failed(machine, number);
+                }
                 let nodes = self.site.nodes;
                 w.waiting = None;
                 if answer.status == 421 {
@@ -1397,9 +1603,20 @@
             Event::User(id, call) => self.ask(id, call),
             Event::Start(node) => self.start(node),
             Event::Heal(machine) => self.heal(machine),
+            Event::GoOn(machine) => self.go_on(machine),
+            Event::Look(node, id, call) => {
+                if self.nodes[node].is_some() {
+                    self.ask_at(node, id, call);
+                }
+            }
         }
     }
 
+    /// Up to when a machine's lease was renewed, counted from the sending of its report.
+    pub fn renewed(&self, machine: u64) -> u64 {
+        self.workers.get(&machine).map_or(0, |w| w.renewed)
+    }
+
     /// How many tasks of a job are running.
     pub fn running(&self, id: &str) -> usize {
         let prefix = format!("{id}/");
