--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -131,6 +131,8 @@
     Ended,
     /// All end, and one is back within a second.
     AllEnd,
+    /// All end, and are back only when every lease is over.
+    AllAway,
     /// The state service is out for all, for longer than `cancel_s`.
     Outage,
     /// The state service takes 300 ms each way.
@@ -139,7 +141,7 @@
     AnswersLost,
     /// Half of the transactions get no answer and are carried out 2 to 12 s later.
     LateWrites,
-    /// The service's machines are cut off.
+    /// A job's machines are cut off.
     Cut,
     /// Its machines report, but hear nothing.
     Deaf,
@@ -159,7 +161,7 @@
     CloudDown,
 }
 
-const TROUBLES: [Trouble; 20] = [
+const TROUBLES: [Trouble; 21] = [
     Trouble::Refused,
     Trouble::Cornered,
     Trouble::Apart,
@@ -167,6 +169,7 @@
     Trouble::Back,
     Trouble::Ended,
     Trouble::AllEnd,
+    Trouble::AllAway,
     Trouble::Outage,
     Trouble::Slow,
     Trouble::AnswersLost,
@@ -184,8 +187,13 @@
 
 impl Trouble {
     fn begin(self, sim: &mut Sim) {
+        self.begin_at(sim, SERVICE);
+    }
+
+    /// Begins it, for the machines of this job where it is a trouble of machines.
+    fn begin_at(self, sim: &mut Sim, job: &str) {
         let leader = sim.leader().unwrap_or(0);
-        let its: Vec<u64> = (0..2).filter_map(|i| sim.machine_of(&format!("{SERVICE}/{i}"))).collect();
+        let its: Vec<u64> = (0..2).filter_map(|i| sim.machine_of(&format!("{job}/{i}"))).collect();
         match self {
             Trouble::Refused => drop(sim.state.deaf.insert(leader)),
             Trouble::Cornered => sim.corner(leader),
@@ -197,6 +205,7 @@
                 (0..3).for_each(|n| sim.crash(n));
                 sim.bounce_back(leader, 800);
             }
+            Trouble::AllAway => (0..3).for_each(|n| sim.bounce(n, 20_000)),
             Trouble::Outage => sim.state.down = true,
             Trouble::Slow => sim.state_slow = 300,
             Trouble::AnswersLost => sim.late_writes = (100, true),
@@ -288,3 +297,257 @@
 fn every_trouble_meets_every_other_when_the_next_leader_has_begun() {
     meetings(4300);
 }
+
+/// Cancellations at every moment of the seconds in which one controller's work changes hands: told once and for all, by whichever
+/// node, and gone within `cancel_s`.
+#[test]
+fn jobs_are_cancelled_while_the_work_of_one_controller_changes_hands() {
+    for how in [Trouble::Back, Trouble::Ended, Trouble::Refused, Trouble::Cornered, Trouble::Apart] {
+        for (n, offset) in (0..3600).step_by(300).enumerate() {
+            let story = format!("{how:?}, cancelled after {offset} ms");
+            let mut sim = running(n as u64);
+            sim.close_looks = true;
+            how.begin(&mut sim);
+            sim.run_until(sim.now + offset);
+            sim.cancel(SERVICE);
+            sim.cancel(BATCH);
+            assert!(until_cancelled(&mut sim, SERVICE, 20_000), "{story}: refused for too long");
+            assert!(until_cancelled(&mut sim, BATCH, 5000), "{story}: refused for too long");
+            sim.run_until(sim.now + sim.site.cancel_ms);
+            kept(&sim, &story);
+            assert_eq!(sim.running(SERVICE) + sim.running(BATCH), 0, "{story}");
+        }
+    }
+}
+
+/// A cancellation, a question and a repeated submission meet the end of a job's last task, with no other trouble or with lost
+/// answers: whatever is told first stays.
+#[test]
+fn a_cancellation_a_question_and_a_repeat_meet_the_end_of_the_last_task() {
+    for lost in [0, 50, 100] {
+        for offset in (0..1200).step_by(60) {
+            let story = format!("{offset} ms around the end, {lost} % of the answers lost");
+            let mut sim = running(offset);
+            sim.submit("job-000009", &[("Pieces", json!(2)), ("RuntimeS", json!(4.0)), ("Cores", json!(1.0))]);
+            let begun = |sim: &Sim| sim.running("job-000009") == 2;
+            while !begun(&sim) {
+                assert!(sim.now < 60_000, "{story}: it runs");
+                sim.run_until(sim.now + 10);
+            }
+            sim.run_until(sim.now + 3500 + offset);
+            sim.close_looks = true;
+            sim.late_writes = (lost, true);
+            sim.cancel("job-000009");
+            sim.repeat("job-000009");
+            sim.run_until(sim.now + 1500);
+            sim.late_writes = (0, false);
+            sim.run_until(sim.now + 8000);
+            kept(&sim, &story);
+            assert!(matches!(sim.jobs["job-000009"].told.as_str(), "done" | "aborted"), "{story}");
+        }
+    }
+}
+
+/// The only job that its team's limit allows is cancelled while its machines can't be asked, and the leader changes before,
+/// at the same time or after: the next job of the team starts only where the first is surely gone, and it starts.
+#[test]
+fn a_team_is_at_its_limit_while_its_job_is_cancelled_and_the_leader_changes() {
+    let (first, next) = ("job-000003", "job-000004");
+    for (n, at) in
+        [Trouble::Cut, Trouble::Deaf, Trouble::Mute, Trouble::Hang, Trouble::LongHang].into_iter().enumerate()
+    {
+        for change in [Trouble::Back, Trouble::Ended, Trouble::Cornered, Trouble::Refused, Trouble::Island] {
+            for (cancelled, changed) in [(0, 1500), (300, 300), (2500, 0), (4500, 0)] {
+                let story = format!("{at:?}, {change:?} after {changed} ms, cancelled after {cancelled} ms");
+                let mut sim = running(n as u64);
+                sim.submit(first, &[("Crew", json!("small")), ("RuntimeS", json!(300.0)), ("Cores", json!(2.0))]);
+                sim.run_until(sim.now + 9000);
+                sim.submit(next, &[("Crew", json!("small")), ("RuntimeS", json!(5.0)), ("Cores", json!(2.0))]);
+                sim.run_until(sim.now + 2000);
+                assert_eq!((sim.running(first), sim.running(next)), (2, 0), "{story}");
+                at.begin_at(&mut sim, first);
+                let begin = sim.now;
+                let mut steps = [(cancelled, None), (changed, Some(change))];
+                steps.sort_by_key(|s| s.0);
+                for (after, step) in steps {
+                    sim.run_until(begin + after);
+                    match step {
+                        Some(change) => change.begin(&mut sim),
+                        None => sim.cancel(first),
+                    }
+                }
+                sim.run_until(begin + 70_000);
+                kept(&sim, &story);
+                sim.mend();
+                sim.run_until(sim.now + 60_000);
+                kept(&sim, &story);
+                assert_eq!(sim.jobs[first].told, "aborted", "{story}");
+                assert_eq!(sim.jobs[next].told, "done", "{story}");
+            }
+        }
+    }
+}
+
+/// Leaders change ten times in two minutes, in some variants inside an outage or with all controllers away for longer than a lease:
+/// every job stays known and comes to its end, and what is cancelled in between stays so.
+#[test]
+fn leaders_change_ten_times_in_two_minutes() {
+    for seed in 0..6u64 {
+        let mut sim = running(seed);
+        sim.close_looks = true;
+        sim.late_writes = (if seed % 2 == 0 { 0 } else { 20 }, seed % 4 == 1);
+        for n in 0..10u64 {
+            let leader = sim.leader().unwrap_or(0);
+            match (seed + n) % 4 {
+                0 => sim.bounce(leader, 400),
+                1 => sim.bounce(leader, 7000),
+                2 => drop(sim.state.deaf.insert(leader)),
+                _ => sim.corner(leader),
+            }
+            let id = format!("job-{:06}", 10 + n);
+            sim.submit(&id, &[("RuntimeS", json!(4.0)), ("Cores", json!(1.0))]);
+            sim.run_until(sim.now + 5000);
+            sim.state.down = seed == 3 && (4..8).contains(&n);
+            if n % 3 == 0 {
+                sim.cancel(&id);
+            }
+            sim.run_until(sim.now + 7000);
+            sim.state.deaf.clear();
+            sim.uncorner();
+            if n == 5 && seed > 3 {
+                (0..3).for_each(|n| sim.crash(n));
+                sim.run_until(sim.now + sim.site.lease_ms + 3000);
+                (0..3).for_each(|n| sim.start(n));
+            }
+        }
+        sim.mend();
+        sim.run_until(sim.now + 120_000);
+        kept(&sim, &format!("seed {seed}"));
+        for (id, job) in sim.jobs.iter().filter(|(id, _)| ![SERVICE, BATCH].contains(&id.as_str())) {
+            assert!(matches!(job.told.as_str(), "done" | "aborted"), "seed {seed}: {id} is {}", job.told);
+        }
+        assert_eq!(sim.running(SERVICE), 2, "seed {seed}");
+    }
+}
+
+/// New machines are up within two seconds and get work at once, writes get no answer and are carried out late, and the leader
+/// ends: what an earlier leader may have begun on a machine that was just enrolled starts nowhere else.
+#[test]
+fn new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends() {
+    for offset in (0..6000).step_by(400) {
+        let mut sim = Sim::at(support::Site { boot_ms: 1500, ..support::Site::small() }, offset);
+        sim.run_until(3000);
+        sim.late_writes = (40, offset % 800 == 0);
+        for n in 0..4 {
+            let id = format!("job-{n:06}");
+            sim.submit(&id, &[("Cores", json!(4.0)), ("RuntimeS", json!(20.0)), ("Pieces", json!(3))]);
+        }
+        sim.run_until(4000 + offset);
+        let leader = sim.leader().unwrap_or(0);
+        let ways = [Trouble::Back, Trouble::Ended, Trouble::Cornered, Trouble::Island];
+        ways[(offset / 400 % 4) as usize].begin(&mut sim);
+        sim.cancel("job-000002");
+        sim.run_until(40_000);
+        sim.mend();
+        sim.run_until(200_000);
+        kept(&sim, &format!("the leader n{leader} ends after {offset} ms"));
+        for (id, job) in &sim.jobs {
+            assert!(matches!(job.told.as_str(), "done" | "aborted"), "{offset} ms: {id} is {}", job.told);
+        }
+    }
+}
+
+/// One-task jobs come four a second for two minutes, a quarter of them is cancelled, some at once and some late, and the leader
+/// changes twice: each is told its end, nothing comes back, and the log stays short.
+#[test]
+fn one_task_jobs_come_four_a_second_and_a_quarter_is_cancelled() {
+    let mut sim = Sim::at(support::Site::many_small(), 5);
+    sim.close_looks = true;
+    sim.run_until(3000);
+    for n in 0..480u64 {
+        sim.submit(&format!("job-{n:06}"), &[("Pieces", json!(1)), ("RuntimeS", json!(6.0)), ("Cores", json!(1.0))]);
+        sim.run_until(sim.now + 250);
+        if n % 4 == 0 && n >= 20 {
+            sim.cancel(&format!("job-{:06}", n - n / 4 % 20));
+        }
+        if n == 200 || n == 320 {
+            let leader = sim.leader().expect("somebody leads");
+            sim.bounce(leader, 300);
+        }
+    }
+    sim.mend();
+    sim.run_until(sim.now + 100_000);
+    kept(&sim, "four a second");
+    for (id, job) in &sim.jobs {
+        assert!(matches!(job.told.as_str(), "done" | "aborted"), "{id} is {}", job.told);
+    }
+    let log = sim.state.keys.keys().filter(|k| k.starts_with("log/")).count();
+    assert!(log <= 2 * sim.site.snapshot_every as usize, "{log} log entries are left");
+}
+
+/// Arrays that may run in one zone only lose machines, the zone's last ones among them, while the leader changes.
+#[test]
+fn arrays_bound_to_one_zone_lose_machines() {
+    for seed in 0..4 {
+        let mut sim = Sim::new(seed);
+        for n in 0..2 {
+            let bound = [("Yard", json!("a")), ("Pieces", json!(4)), ("RuntimeS", json!(25.0)), ("Cores", json!(4.0))];
+            sim.submit(&format!("job-{n:06}"), &bound);
+        }
+        sim.run_until(20_000);
+        for at in [0, 4000, 4500, 9000] {
+            sim.run_until(20_000 + at);
+            if let Some(machine) = (0..4).find_map(|i| sim.machine_of(&format!("job-{:06}/{i}", at % 2))) {
+                if seed % 2 == 0 { sim.die(machine) } else { sim.cut(machine) }
+            }
+            if at == 4500 {
+                let leader = sim.leader().expect("somebody leads");
+                sim.bounce(leader, 300);
+            }
+        }
+        sim.run_until(80_000);
+        sim.mend();
+        sim.run_until(260_000);
+        kept(&sim, &format!("seed {seed}"));
+        for (id, job) in &sim.jobs {
+            assert_eq!(job.told, "done", "seed {seed}: {id}");
+        }
+    }
+}
+
+/// What lacks a field is malformed, what fits nothing can never run, and the same is answered again on a repeat; a repeat of what
+/// runs, and a cancellation of what is done, are answered with the state, under whichever leader.
+#[test]
+fn odd_requests_are_answered_the_same_each_time() {
+    let mut sim = running(3);
+    sim.submit("job-000020", &[("RuntimeS", json!(2.0)), ("Pieces", json!(1)), ("Cores", json!(1.0))]);
+    let odd: [(&str, &str, serde_json::Value, u16); 8] = [
+        ("job-000021", "Reel", json!(null), 400),
+        ("job-000022", "Pieces", json!(0), 400),
+        ("job-000023", "Cores", json!("four"), 400),
+        ("job-000024", "Shape", json!("heap"), 400),
+        ("job-000025", "Crew", json!("nobody"), 422),
+        ("job-000026", "Cores", json!(99.0), 422),
+        ("job-000027", "Builds", json!(["none"]), 422),
+        ("job-000028", "Yard", json!("nowhere"), 422),
+    ];
+    for turn in 0..3 {
+        for (id, field, value, status) in &odd {
+            match turn {
+                0 => sim.submit(id, &[(*field, value.clone())]),
+                _ => sim.repeat(id),
+            }
+            sim.run_until(sim.now + 1500);
+            assert_eq!(sim.jobs[*id].submit_status, *status, "{id}, turn {turn}");
+            assert!(!sim.jobs[*id].accepted, "{id}");
+        }
+        sim.repeat(SERVICE);
+        sim.cancel("job-000020");
+        let leader = sim.leader().expect("somebody leads");
+        sim.bounce(leader, 300);
+        sim.run_until(sim.now + 8000);
+        assert_eq!(sim.jobs[SERVICE].submit_status, 200);
+        assert_eq!((sim.jobs["job-000020"].withdraw_status, sim.jobs["job-000020"].told.as_str()), (200, "done"));
+        kept(&sim, "odd requests");
+    }
+}
