--- /dev/null
+++ b/src/fleet/tests.rs
@@ -0,0 +1,66 @@
+use super::*;
+use serde_json::json;
+
+fn reply(status: u16, body: serde_json::Value) -> Reply {
+    Reply { status, body: body.to_string().into() }
+}
+
+#[test]
+fn a_rental_without_answer_is_repeated_under_its_name() {
+    let limits = CloudLimits { rps: 6.0, list_lag_s: 8.0 };
+    let mut fleet = Fleet::new(Token(41), Time(1), &limits);
+    let mut out = Vec::new();
+    fleet.rent(Time(1), &("small".into(), "a".into(), true), 3, &mut out);
+    let names = |out: &mut Vec<Event>| -> Vec<(u64, String)> {
+        out.drain(..)
+            .filter_map(|e| match e {
+                Event::Call(id, CloudCall::Rent(r)) => Some((id, r.request)),
+                _ => None,
+            })
+            .collect()
+    };
+    let first = names(&mut out);
+    fleet.tick(Time(5100), &mut out);
+    let second = names(&mut out);
+    assert_eq!((first[0].1.as_str(), second[0].1.as_str()), ("r-41-1", "r-41-1"));
+    fleet.reply(Time(5200), second[0].0, &reply(200, json!({"Hosts": ["m-000007"]})), &|_| false, &mut out);
+    assert_eq!(fleet.booting().map(|(id, _)| *id).collect::<Vec<_>>(), [MachineId(7)]);
+    assert!(fleet.refused(&("small".into(), "a".into(), true), Time(6000)), "only partly filled");
+}
+
+/// Three replicas of a service that is spread over zones.
+fn replicas(job: u64) -> Demand {
+    Demand {
+        job: JobId(job),
+        need: Room { cpus: 1000, gpus: 0, memory: 3200 },
+        count: 3,
+        spot: false,
+        ordinary: true,
+        types: None,
+        zone: None,
+        zone_cap: 2,
+    }
+}
+
+/// Many services of a few replicas each fill a large machine that is cheaper per CPU.
+#[test]
+fn what_a_machine_costs_per_task_is_asked_for_the_class() {
+    let mut large = crate::intake::tests::flavor();
+    (large.name, large.cpus, large.memory_gb, large.price) = ("large".into(), 16.0, 64.0, 0.99);
+    let flavors = [crate::intake::tests::flavor(), large];
+    let bought = |jobs: u64| -> Vec<(String, u32)> {
+        let demands: Vec<Demand> = (0..jobs).map(replicas).collect();
+        let got = choose(&demands, &flavors, &|_| false, &mut BTreeMap::new());
+        got.into_iter().map(|(place, n)| (place.0, n)).collect()
+    };
+    assert_eq!(bought(1), [("small".into(), 1), ("small".into(), 1)]);
+    assert_eq!(bought(8), [("large".into(), 1), ("large".into(), 1)]);
+}
+
+#[test]
+fn like_tasks_are_bought_for_as_a_class_and_spread() {
+    let flavors = [crate::intake::tests::flavor()];
+    let got = choose(&[replicas(1)], &flavors, &|_| false, &mut BTreeMap::new());
+    let shown: Vec<_> = got.iter().map(|(p, n)| (p.1.as_str(), p.2, *n)).collect();
+    assert_eq!(shown, [("a", false, 1), ("b", false, 1)]);
+}
--- /dev/null
+++ b/src/intake/tests.rs
@@ -0,0 +1,114 @@
+use super::*;
+
+/// A submission, for tests everywhere.
+pub(crate) fn submission(id: &str) -> Value {
+    json!({"Ref": id, "Lane": "render", "Crew": "crew", "Shape": "batch", "Rank": "standard", "Pieces": 2,
+           "Cores": 2.0, "Cards": 0.0, "MemoryGb": 5.7, "Reel": "img-1", "ImageGb": 1.5, "Builds": null,
+           "Together": false, "Spread": false, "Loaners": true, "RuntimeS": 30.0, "BookmarkS": 0.0,
+           "StashS": 0.0, "DueS": 90.0, "Later": {"x": 1}})
+}
+
+fn parse(value: &Value) -> Result<JobRecord, Refusal> {
+    parse_job(value.to_string().as_bytes(), Wall(5))
+}
+
+#[test]
+fn what_is_wrong_with_a_submission_is_named() {
+    let good = submission("job-000001");
+    assert!(parse(&good).is_ok());
+    let cases = [
+        ("Ref", json!("job-1")),
+        ("Ref", json!(7)),
+        ("Lane", json!(null)),
+        ("Crew", json!("")),
+        ("Shape", json!("gang")),
+        ("Rank", json!("Prod")),
+        ("Pieces", json!(0)),
+        ("Pieces", json!(100_001)),
+        ("Pieces", json!(1.5)),
+        ("Pieces", json!("2")),
+        ("Cores", json!(0)),
+        ("Cores", json!(-1.0)),
+        ("Cores", json!(1e300)),
+        ("Cards", json!(-0.5)),
+        ("MemoryGb", json!("4")),
+        ("Reel", json!([])),
+        ("Builds", json!("g8")),
+        ("Builds", json!([1])),
+        ("Yard", json!(3)),
+        ("Together", json!(0)),
+        ("Spread", json!(null)),
+        ("Loaners", json!("yes")),
+        ("RuntimeS", json!(0)),
+        ("DueS", json!(-3)),
+    ];
+    for (name, value) in cases {
+        let mut wrong = good.clone();
+        wrong[name] = value.clone();
+        match parse(&wrong) {
+            Err(Refusal::Malformed(field, _)) => assert_eq!(field, name, "{value}"),
+            other => panic!("{name} = {value}: {other:?}"),
+        }
+    }
+    assert!(matches!(parse_job(b"[1]", Wall(0)), Err(Refusal::Malformed("", _))));
+    assert!(matches!(parse_job(b"{", Wall(0)), Err(Refusal::Malformed("", _))));
+    assert!(matches!(parse_job(br#"{"Ref":"job-000001","Cores":1e999}"#, Wall(0)), Err(Refusal::Malformed(..))));
+}
+
+pub(crate) fn flavor() -> Flavor {
+    serde_json::from_value(json!({"Label": "small", "Cores": 4, "MemoryGb": 16.0, "LocalGb": 70.0, "FetchGbPerS": 1.0,
+        "Hourly": 0.26, "MarketPrice": 0.1, "BootS": 15, "Yards": ["a", "b"]}))
+    .unwrap()
+}
+
+#[test]
+fn what_can_never_run_is_told_from_what_is_not_known_yet() {
+    let teams = crate::settings::Settings::parse(crate::settings::tests::SAMPLE).unwrap().deployment.teams;
+    let flavors = [flavor()];
+    let check = |change: &dyn Fn(&mut Value)| {
+        let mut value = submission("job-000001");
+        change(&mut value);
+        can_ever_run(&parse(&value).unwrap(), &teams, Some(&flavors))
+    };
+    assert_eq!(check(&|_| {}), Ok(()));
+    assert!(matches!(check(&|v| v["Crew"] = json!("nobody")), Err(Refusal::Never(_))));
+    assert!(matches!(check(&|v| v["MemoryGb"] = json!(16.1)), Err(Refusal::Never(_))));
+    assert!(matches!(check(&|v| v["Builds"] = json!(["huge"])), Err(Refusal::Never(_))));
+    assert!(matches!(check(&|v| v["Yard"] = json!("c")), Err(Refusal::Never(_))));
+    let small = |v: &mut Value| {
+        v["Crew"] = json!("small");
+        v["Pieces"] = json!(3);
+    };
+    assert_eq!(check(&small), Ok(()), "an array's tasks may take turns within the limit");
+    let service = |v: &mut Value| {
+        small(v);
+        v["Shape"] = json!("standing");
+    };
+    assert!(matches!(check(&service), Err(Refusal::Never(_))), "a service needs all its tasks at once");
+    let job = parse(&submission("job-000001")).unwrap();
+    assert!(matches!(can_ever_run(&job, &teams, None), Err(Refusal::NotYet(_))));
+}
+
+#[test]
+fn facts_read_back_from_a_snapshot_give_the_same_book() {
+    let (mut book, mut again) = (JobBook::default(), JobBook::default());
+    for n in 1..=3 {
+        let record = parse(&submission(&format!("job-00000{n}"))).unwrap();
+        book.apply(&Record::Job(record), Time(9), Wall(9));
+    }
+    let mut two = Ranges::upto(2);
+    book.apply(&Record::Done(JobId(1), two.clone()), Time(9), Wall(9));
+    book.apply(&Record::Cancelled(JobId(2)), Time(9), Wall(9));
+    book.apply(&Record::Cancelled(JobId(1)), Time(9), Wall(9)); // too late: it is done
+    two.remove(0);
+    book.apply(&Record::Done(JobId(3), two), Time(9), Wall(9));
+    for fact in book.facts() {
+        again.apply(&fact, Time(9), Wall(9));
+    }
+    for (n, status) in [(1, "done"), (2, "aborted"), (3, "queued")] {
+        assert_eq!(book.state(JobId(n)), again.state(JobId(n)));
+        assert_eq!(again.state(JobId(n)).unwrap()["Status"], status);
+    }
+    assert_eq!(again.get(JobId(3)).unwrap().pending, Ranges::upto(1));
+    assert_eq!(again.state(JobId(4)), None);
+}
--- /dev/null
+++ b/src/leadership/tests.rs
@@ -0,0 +1,125 @@
+use super::*;
+use rand::SeedableRng;
+use serde_json::json;
+
+fn node(name: &str, incarnation: u64) -> Leadership {
+    Leadership::new(name, incarnation, Span(2500), SmallRng::seed_from_u64(1))
+}
+
+fn only_call(out: &mut Vec<Event>) -> (u64, StateCall) {
+    match out.drain(..).next_back() {
+        Some(Event::Call(id, call)) => (id, call),
+        other => panic!("no call but {other:?}"),
+    }
+}
+
+fn answer(status: u16, body: serde_json::Value) -> Reply {
+    Reply { status, body: body.to_string().into() }
+}
+
+/// A node that has just won the key at revision 9.
+fn leader() -> Leadership {
+    let (mut n, mut out) = (node("n0", 7), Vec::new());
+    n.tick(Time(0), &mut out);
+    for body in [(404, json!({})), (200, json!({"Permit": 4})), (200, json!({"Ledger": 9}))] {
+        let id = n.in_flight.unwrap().id;
+        n.reply(Time(1), id, &answer(body.0, body.1), &mut out);
+    }
+    n
+}
+
+#[test]
+fn an_election_whose_answer_is_lost_is_settled_by_reading_the_key() {
+    let (mut n, mut out) = (node("n0", 7), Vec::new());
+    n.tick(Time(0), &mut out);
+    let (id, _) = only_call(&mut out);
+    n.reply(Time(5), id, &answer(404, json!({"Ledger": 3})), &mut out);
+    let (id, call) = only_call(&mut out);
+    assert_eq!(call, StateCall::Grant(Span(2500)));
+    n.reply(Time(10), id, &answer(200, json!({"Permit": 4})), &mut out);
+    assert!(matches!(only_call(&mut out).1, StateCall::Txn(_)));
+    n.tick(Time(1100), &mut out); // no answer
+    n.tick(Time(1700), &mut out);
+    let (id, call) = only_call(&mut out);
+    assert_eq!(call, StateCall::Get(LEADER_KEY.into()));
+    let key = json!({"K": "leader", "V": {"node": "n0", "incarnation": 7}, "Stamp": 9, "Permit": 4});
+    n.reply(Time(1705), id, &answer(200, key), &mut out);
+    let (id, call) = only_call(&mut out);
+    assert_eq!(call, StateCall::Renew(LeaseId(4)));
+    assert_eq!(n.token(), None, "not before the lease is known to live");
+    n.reply(Time(1710), id, &answer(200, json!({})), &mut out);
+    assert_eq!(out, [Event::Elected(Token(9))]);
+    assert!(n.certain(Time(4000)) && !n.certain(Time(4010)));
+}
+
+#[test]
+fn a_late_copy_of_an_election_under_an_older_lease_does_not_count() {
+    let (mut n, mut out) = (node("n0", 7), Vec::new());
+    n.tick(Time(0), &mut out);
+    let (id, _) = only_call(&mut out);
+    let key = json!({"K": "leader", "V": {"node": "n0", "incarnation": 7}, "Stamp": 9, "Permit": 4});
+    n.reply(Time(5), id, &answer(200, key), &mut out);
+    assert_eq!((n.token(), out.len()), (None, 0));
+}
+
+#[test]
+fn a_restarted_node_replaces_its_own_key_and_leaves_others_alone() {
+    let (mut n, mut out) = (node("n0", 8), Vec::new());
+    n.tick(Time(0), &mut out);
+    let (id, _) = only_call(&mut out);
+    let key = json!({"K": "leader", "V": {"node": "n0", "incarnation": 7}, "Stamp": 9, "Permit": 4});
+    n.reply(Time(5), id, &answer(200, key), &mut out);
+    let (id, _) = only_call(&mut out);
+    n.reply(Time(6), id, &answer(200, json!({"Permit": 5})), &mut out);
+    let (id, call) = only_call(&mut out);
+    let StateCall::Txn(txn) = call else { panic!("{call:?}") };
+    assert_eq!(txn.conditions[0].version, 9);
+    n.reply(Time(7), id, &answer(409, json!({"failed": ["leader"], "Ledger": 10})), &mut out);
+    n.tick(Time(8), &mut out);
+    let (id, _) = only_call(&mut out);
+    let key = json!({"K": "leader", "V": {"node": "n1", "incarnation": 1}, "Stamp": 10, "Permit": 6});
+    n.reply(Time(9), id, &answer(200, key), &mut out);
+    assert_eq!(out, [Event::Leader(Some("n1".into()))]);
+}
+
+/// A leader without the state service learns from its successor that it leads no more, and a node
+/// that hears both believes the later one, in whatever order the words come.
+#[test]
+fn the_word_of_a_later_leader_counts_and_that_of_an_earlier_one_does_not() {
+    let (mut n, mut out) = (leader(), Vec::new());
+    n.told(Time(5), "n1".into(), Token(8), &mut out);
+    assert_eq!((n.token(), out.len()), (Some(Token(9)), 0));
+    n.told(Time(6), "n2".into(), Token(12), &mut out);
+    assert_eq!(out, [Event::SteppedDown("another node leads"), Event::Leader(Some("n2".into()))]);
+    n.told(Time(7), "n1".into(), Token(8), &mut out);
+    assert_eq!(n.leader(), Some("n2"));
+}
+
+#[test]
+fn a_leader_that_makes_room_ends_its_lease_and_leaves_the_key_to_others() {
+    let (mut n, mut out) = (leader(), Vec::new());
+    n.make_room(Time(5), "no worker is reached", &mut out);
+    let revoked = Event::Call(n.calls, StateCall::Revoke(LeaseId(4)));
+    assert_eq!(out, [revoked, Event::SteppedDown("no worker is reached")]);
+    for (at, campaigns) in [(1000, false), (12_000, true)] {
+        out.clear();
+        n.tick(Time(at), &mut out);
+        let (id, _) = only_call(&mut out);
+        n.reply(Time(at), id, &answer(404, json!({"Ledger": 10})), &mut out);
+        assert_eq!(!out.is_empty(), campaigns, "{out:?}");
+    }
+}
+
+#[test]
+fn an_outage_leaves_the_leader_in_doubt_and_a_lost_lease_ends_it() {
+    let (mut n, mut out) = (leader(), Vec::new());
+    n.tick(Time(2), &mut out);
+    let (id, _) = only_call(&mut out);
+    n.reply(Time(3), id, &answer(503, json!({})), &mut out);
+    assert!(n.certain(Time(2000)) && !n.certain(Time(2400)));
+    assert_eq!(n.token(), Some(Token(9)), "in doubt it still leads");
+    n.tick(Time(30_000), &mut out);
+    let (id, _) = only_call(&mut out);
+    n.reply(Time(30_001), id, &answer(404, json!({})), &mut out);
+    assert_eq!(out, [Event::SteppedDown("lease lost")]);
+}
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -141,21 +141,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn frames_keep_their_layout() {
-        let frame = Frame::Answer(7, Answer { status: 503, retry_after: 2, body: "{}".into() });
-        let bytes = frame.encode();
-        assert_eq!(bytes, b"CPT\x01\x02\0\0\0\x07\0\0\0\0\0\0\0\xf7\x01\x02\0\x04\0\0\0{}");
-        let header = Frame::header(bytes[..HEADER_BYTES].try_into().unwrap()).unwrap();
-        assert_eq!(Frame::decode(&header, bytes[HEADER_BYTES..].to_vec()), Ok(frame));
-        let mut wrong: [u8; HEADER_BYTES] = bytes[..HEADER_BYTES].try_into().unwrap();
-        wrong[7] = 0xff; // a length beyond the limit
-        assert!(Frame::header(&wrong).is_err());
-        wrong = bytes[..HEADER_BYTES].try_into().unwrap();
-        wrong[20] = 9;
-        assert!(Frame::decode(&Frame::header(&wrong).unwrap(), vec![]).is_err());
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/plan/tests.rs
@@ -0,0 +1,112 @@
+use super::*;
+
+/// Table 1 of the paper: execution times by task and server, `None` for "np".
+struct Table;
+const TIMES: [[Option<u64>; 3]; 5] = [
+    [Some(3), Some(5), Some(6)],
+    [Some(5), Some(12), Some(9)],
+    [Some(11), Some(20), Some(15)],
+    [Some(10), None, Some(17)],
+    [Some(12), Some(14), None],
+];
+fn server(id: u64) -> Server {
+    Server { id: MachineId(id), kind: id as usize - 1, free: ONE, ..Server::default() }
+}
+const ONE: Room = Room { cpus: 1000, gpus: 0, memory: 0 };
+
+impl World for Table {
+    fn profile(&self, job: JobId) -> Option<Profile> {
+        let times = TIMES[job.0 as usize - 1];
+        let kinds = times.iter().map(|t| t.map(|t| (Span(t * COARSE), Span(t * COARSE)))).collect();
+        Some(Profile { kinds, zone: None, spot: true, avoid: Vec::new(), image: 0 })
+    }
+    fn zones(&self, _: JobId, _: &BTreeMap<usize, u32>) -> Zones {
+        Zones::default()
+    }
+}
+
+fn task(number: u64, priority: u8, deadline: u64) -> Entry {
+    Entry {
+        job: JobId(number),
+        order: Order { rank: 10 - priority, seq: number },
+        count: 1,
+        need: ONE,
+        run: Span(0),
+        endless: false,
+        deadline: Time(deadline * COARSE),
+        tied: false,
+    }
+}
+
+fn shown(plans: &Plans) -> String {
+    let queues: Vec<String> = plans
+        .servers()
+        .map(|s| s.queue.iter().map(|e| format!("T{}", e.job.0)).collect::<Vec<_>>().join(","))
+        .collect();
+    queues.join(" | ")
+}
+
+#[test]
+fn figure_2_of_the_paper_step_by_step() {
+    let mut plans = Plans::default();
+    for id in 1..=3 {
+        plans.admit(Time(0), vec![server(id)]);
+    }
+    let steps = [
+        (task(1, 3, 15), "T1 |  | "),
+        (task(2, 5, 10), "T2,T1 |  | "),
+        (task(3, 2, 30), "T2,T1 |  | T3"),
+        (task(4, 4, 20), "T2,T4 | T1 | T3"),    // T1 is fallbacked and goes to S2
+        (task(5, 5, 15), "T2,T4 | T5 | T1,T3"), // T1 is fallbacked again and goes to S3
+    ];
+    for (task, expected) in steps {
+        assert_eq!(plans.place(Time(0), task, 1, &Table), 1);
+        assert_eq!(shown(&plans), expected);
+    }
+    assert_eq!(plans.planned(JobId(1)), 1);
+}
+
+#[test]
+fn without_a_machine_that_meets_the_deadline_the_soonest_finish_wins() {
+    let mut plans = Plans::default();
+    for id in 1..=3 {
+        plans.admit(Time(0), vec![server(id)]);
+    }
+    plans.place(Time(0), task(3, 2, 1), 1, &Table);
+    assert_eq!(shown(&plans), "T3 |  | ");
+}
+
+#[test]
+fn an_idle_machine_takes_the_highest_priority_task_that_fits() {
+    let mut plans = Plans::default();
+    plans.admit(Time(0), vec![server(1)]);
+    for t in [task(1, 3, 1000), task(2, 5, 1000), task(4, 4, 1000)] {
+        plans.place(Time(0), t, 1, &Table);
+    }
+    plans.admit(Time(0), vec![Server { ready: Time(1_000_000), ..server(2) }]);
+    let taken = plans.steal(MachineId(2), &|e, s| Table.profile(e.job)?.predict(s)).unwrap();
+    assert_eq!(taken.job, JobId(2));
+    assert_eq!(shown(&plans), "T4,T1 | T2");
+}
+
+#[test]
+fn tasks_behind_services_that_took_their_room_are_planned_anew() {
+    let mut plans = Plans::default();
+    plans.admit(Time(0), vec![server(1)]);
+    plans.place(Time(0), task(1, 3, 1000), 1, &Table);
+    plans.refresh(Server { free: Room::default(), ..server(1) });
+    plans.release_stuck(Time(0), [MachineId(1)].into_iter());
+    assert_eq!((shown(&plans).as_str(), plans.planned(JobId(1))), ("", 0));
+}
+
+#[test]
+fn correcfast_follows_its_formula() {
+    let mut c = Correction::default();
+    c.learn(Span(150), Span(100));
+    assert_eq!(c, Correction { percent: 150.0, executions: 1 });
+    c.learn(Span(50), Span(100));
+    assert_eq!(c, Correction { percent: 100.0, executions: 2 });
+    c.learn(Span(250), Span(100));
+    assert_eq!(c.percent, 150.0);
+    assert_eq!(c.predict(Span(10)), Span(15));
+}
--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,85 @@
+use super::*;
+
+/// Settings of a small deployment, for tests everywhere.
+pub(crate) const SAMPLE: &str = r#"
+    node = "n0"
+    area = "a"
+    api_addr = "127.0.0.1:7000"
+    peer_bind = "127.0.0.1:7001"
+    later = "ignored"
+    [[seeds]]
+    node = "n1"
+    area = "b"
+    address = "127.0.0.1:7003"
+    [external]
+    cloud = "127.0.0.1:7100"
+    state = "127.0.0.1:7101"
+    [deployment]
+    size = 2
+    zones = ["a", "b"]
+    clock_error_ms = 100.0
+    [[deployment.teams]]
+    name = "crew"
+    cpus = 0.0
+    cpus_max = 0.0
+    [[deployment.teams]]
+    name = "small"
+    cpus_max = 4.0
+    [[deployment.objectives]]
+    kind = "wait"
+    class = "live"
+    within_s = 2.0
+    share = 0.9
+    [deployment.workers]
+    report_s = 2.0
+    lease_s = 16.0
+    cancel_s = 41.0
+    [deployment.state]
+    rps = 200.0
+    write_rps = 20.0
+    value_kb = 8.0
+    txn_ops = 16
+    [deployment.cloud]
+    rps = 6.0
+    list_lag_s = 8.0
+    [deployment.resources]
+    cpu = 0.1
+    memory_mb = 56.0
+    fd_limit = 900
+"#;
+
+#[test]
+fn a_wrong_field_is_named() {
+    assert!(Settings::parse(SAMPLE).is_ok());
+    let wrong = SAMPLE.replace("lease_s = 16.0", "lease_s = -1.0");
+    assert!(Settings::parse(&wrong).unwrap_err().to_string().contains("deployment.workers.lease_s"));
+    let missing = SAMPLE.replace("report_s = 2.0", "");
+    assert!(Settings::parse(&missing).unwrap_err().to_string().contains("report_s"));
+    let nothing = SAMPLE.replace("memory_mb = 56.0", "memory_mb = 0.0");
+    assert!(Settings::parse(&nothing).unwrap_err().to_string().contains("deployment.resources.memory_mb"));
+    let none = SAMPLE.replace("cpu = 0.1", "cpu = 0.0");
+    assert!(Settings::parse(&none).unwrap_err().to_string().contains("deployment.resources.cpu"));
+    let deaf = SAMPLE.replace("fd_limit = 900", "fd_limit = 3");
+    assert!(Settings::parse(&deaf).unwrap_err().to_string().contains("deployment.resources.fd_limit"));
+    let twice = SAMPLE.replace("node = \"n1\"", "node = \"n0\"");
+    assert!(Settings::parse(&twice).unwrap_err().to_string().contains("seeds[0].node"));
+}
+
+#[test]
+fn open_jobs_and_connections_fit_into_the_memory() {
+    for (memory_mb, fd_limit) in [(37.0, 900), (56.0, 900), (66.0, 1500), (104.0, 1500), (188.0, 2900)] {
+        let resources = Resources { cpu: 0.1, memory_mb, fd_limit };
+        let held = resources.open_jobs() as f64 * JOB_MB + resources.connections() as f64 * CONNECTION_MB + BASE_MB;
+        assert!(held <= memory_mb && resources.open_jobs() > 1000, "{held} of {memory_mb} MB");
+    }
+}
+
+#[test]
+fn the_operators_ini_is_checked() {
+    let tuning = Tuning::parse("[fleet]\nidle_spot_s = 5\n").unwrap();
+    assert_eq!(tuning.idle_spot, Span(5000));
+    assert!(Tuning::parse("[fleet]\nidle_spt_s = 5\n").unwrap_err().to_string().contains("fleet.idle_spt_s"));
+    assert_eq!(Tuning::parse("[fleet]\nstrict_aim = 0.95\n").unwrap().strict_aim, 0.95);
+    assert!(Tuning::parse("[fleet]\nstrict_aim = 95\n").unwrap_err().to_string().contains("fleet.strict_aim"));
+    assert!(Tuning::parse("[leadership]\nlease_s = soon\n").unwrap_err().to_string().contains("leadership.lease_s"));
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -304,35 +304,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn ids_have_one_form_only() {
-        assert_eq!("job-000412".parse(), Ok(JobId(412)));
-        assert_eq!("job-1000412".parse(), Ok(JobId(1000412)));
-        for bad in ["job-412", "job-0000412", "job-", "job-00041x", "m-000412", "", "job-99999999999999999999"] {
-            assert_eq!(bad.parse::<JobId>(), Err(BadId), "{bad}");
-        }
-        let task: TaskId = "job-000412/3".parse().unwrap();
-        assert_eq!(task.to_string(), "job-000412/3");
-        assert!("job-000412/".parse::<TaskId>().is_err());
-        assert!("job-000412/+3".parse::<TaskId>().is_err());
-    }
-
-    proptest::proptest! {
-        #[test]
-        fn ranges_behave_like_a_set(ops in proptest::collection::vec((0u32..40, proptest::bool::ANY), 0..200)) {
-            let (mut ranges, mut set) = (Ranges::default(), std::collections::BTreeSet::new());
-            for (n, add) in ops {
-                if add {
-                    proptest::prop_assert_eq!(ranges.insert(n), set.insert(n));
-                } else {
-                    proptest::prop_assert_eq!(ranges.remove(n), set.remove(&n));
-                }
-                proptest::prop_assert!(ranges.iter().eq(set.iter().copied()));
-                proptest::prop_assert_eq!(ranges.len() as usize, set.len());
-            }
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/watching/tests.rs
@@ -0,0 +1,22 @@
+use super::*;
+use crate::records::MachineRecord;
+use crate::settings::{Settings, tests::SAMPLE};
+use crate::units::{Room, Token, Wall};
+use crate::workers::Enrolment;
+
+#[test]
+fn silence_counts_only_while_there_are_workers() {
+    let mut reign = Reign::new(Token(5), Time::START, &Settings::parse(SAMPLE).unwrap());
+    reign.unheard = Span(25_000);
+    reign.look_for_workers();
+    for n in 1..=4 {
+        let (kind, zone, endpoint) = ("big".to_string(), "a".to_string(), String::new());
+        let record = MachineRecord { id: MachineId(n), endpoint, kind, zone, spot: false, at: Wall(0) };
+        reign.machines.insert(MachineId(n), Machine::new(record, Room::default(), Enrolment::None, Time::START));
+    }
+    reign.look_for_workers();
+    assert_eq!(reign.over(), None, "they have just come up");
+    reign.unheard = Span(3600);
+    reign.look_for_workers();
+    assert_eq!(reign.over(), Some(Over::NoWorkers));
+}
