--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -250,7 +250,8 @@
                 self.valid_until = call.sent + Span(self.ttl.0.saturating_sub(MARGIN.0));
                 match self.claimed.take() {
                     Some(revision) => self.elected(now, revision, out),
-                    None => self.next = now + Span(self.ttl.0 / 4),
+                    // Counted from the sending, so that slow answers don't leave a leader in doubt in between.
+                    None => self.next = call.sent + Span(self.ttl.0 / 4),
                 }
             }
             (Kind::Renew, 404) => self.step_down(now, "lease lost", out),
@@ -297,7 +298,9 @@
 
     fn campaign(&mut self, now: Time, replace: u64, out: &mut Vec<Event>) {
         self.replace = replace;
-        let fresh = self.lease.filter(|(_, granted)| now.since(*granted).0 < self.ttl.0 / 4);
+        // It must live until the campaign is carried out. With a quarter of its life as the limit nobody was elected for as long
+        // as the state service took 0.4 s over an answer: each lease was old when it was granted.
+        let fresh = self.lease.filter(|(_, granted)| now.since(*granted).0 < self.ttl.0 / 2);
         let Some((lease, _)) = fresh else {
             self.lease = None;
             return self.call(now, Kind::Grant, StateCall::Grant(self.ttl), out);
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -551,3 +551,18 @@
         kept(&sim, "odd requests");
     }
 }
+
+/// The state service answers slowly, and the leader ends: another one must be elected all the same, and users get answers.
+#[test]
+fn a_leader_is_elected_while_the_state_service_is_slow() {
+    for slow in [100, 200, 300] {
+        let mut sim = running(slow);
+        sim.state_slow = slow;
+        let leader = sim.leader().expect("somebody leads");
+        sim.crash(leader);
+        sim.cancel(SERVICE);
+        assert!(until_cancelled(&mut sim, SERVICE, 25_000), "{} ms for an answer: refused for too long", 2 * slow);
+        sim.run_until(sim.now + sim.site.cancel_ms);
+        kept(&sim, &format!("{slow} ms each way"));
+    }
+}
