--- a/src/runtime/http.rs
+++ b/src/runtime/http.rs
@@ -108,7 +108,8 @@
     let body = match tokio::time::timeout(BODY_TIMEOUT, read(body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(answer)) => return answer,
-        Err(_) => return plain(400, "the body did not arrive"),
+        // Not 400: what is late is not malformed, and the same submission may have been accepted before.
+        Err(_) => return plain(408, "the body did not arrive"),
     };
     let asked = match (method.as_str(), path.strip_prefix("/work")) {
         ("POST", Some("")) => Asked::User(UserCall::Submit(body)),
@@ -142,7 +143,7 @@
     let mut body = std::pin::pin!(body);
     let mut bytes = Vec::new();
     while let Some(part) = std::future::poll_fn(|cx| body.as_mut().poll_next(cx)).await {
-        let Ok(mut part) = part else { return Err(plain(400, "the body broke off")) };
+        let Ok(mut part) = part else { return Err(plain(408, "the body broke off")) };
         while part.has_remaining() {
             let chunk = part.chunk();
             if bytes.len() + chunk.len() > BODY_LIMIT {
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -267,6 +267,11 @@
     for (id, job) in sim.jobs.iter().filter(|(id, _)| *id != BATCH) {
         assert!(matches!(job.told.as_str(), "done" | "aborted"), "{story}: {id} is {}", job.told);
     }
+    let (cancels, questions) = sim.refused;
+    println!(
+        "{story}: {cancels} cancellations and {questions} questions refused, {} starts after one",
+        sim.late_starts
+    );
 }
 
 /// Every trouble meets every other, on as many threads as there are processors.
