--- /dev/null
+++ b/src/scheduling/limits.rs
@@ -0,0 +1,61 @@
+//! What may be started at all: limits of teams, and jobs that are held back.
+
+use super::*;
+
+impl Term {
+    /// What each team's tasks use, or may use; nothing is counted where no team has a limit.
+    pub(super) fn team_use(&self) -> HashMap<String, Room> {
+        let mut used: HashMap<String, Room> = HashMap::new();
+        if !self.limited() {
+            return used;
+        }
+        for machine in self.machines.values() {
+            for hold in machine.holds.values().filter(|h| h.occupies()) {
+                // A task whose job is over still counts; its team is not known any more, so it
+                // counts for all that are limited.
+                let team = self.book.get(hold.task.job).map_or("", |j| j.record.team.as_str());
+                let need = if hold.need == Room::default() { machine.capacity } else { hold.need };
+                // Of a machine whose room is not known either, anything may be used.
+                let need = if need == Room::default() { UNKNOWN } else { need };
+                used.entry(team.to_string()).or_default().add(&need);
+            }
+        }
+        used
+    }
+
+    /// Whether a team may use this much more.
+    pub(super) fn within_limit(&self, used: &HashMap<String, Room>, job: &Job, times: u64) -> bool {
+        let Some(team) = self.settings.deployment.teams.iter().find(|t| t.name == job.record.team) else {
+            return false;
+        };
+        if team.cpus_max <= 0.0 && team.gpus_max <= 0.0 {
+            return true;
+        }
+        if !self.open() {
+            // Machines that are not fenced may run tasks of the team that are not known here.
+            return false;
+        }
+        let of = |name: &str| used.get(name).copied().unwrap_or_default();
+        let mut total = of(&job.record.team);
+        total.add(&of(""));
+        let fits = |max: f64, have: u64, need: u64| max <= 0.0 || have + need * times <= (max * 1000.0 + 1e-6) as u64;
+        fits(team.cpus_max, total.cpus, job.record.need.cpus) && fits(team.gpus_max, total.gpus, job.record.need.gpus)
+    }
+
+    /// Whether tasks of this job may be started at all now.
+    pub(crate) fn startable(&self, job: &Job, now: Time) -> bool {
+        job.durable && !job.cancelling && !job.pending.is_empty() && job.not_before <= now && (self.open() || job.ours)
+    }
+
+    /// Whether this job's team has a limit.
+    pub(super) fn has_limit(&self, job: JobId) -> bool {
+        let Some(job) = self.book.get(job) else { return false };
+        let team = self.settings.deployment.teams.iter().find(|t| t.name == job.record.team);
+        team.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+    }
+
+    /// Whether any team has a limit.
+    pub(crate) fn limited(&self) -> bool {
+        self.settings.deployment.teams.iter().any(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
+    }
+}
