The team-limit meeting comes with an idle machine, and jobs that come after the change; users ask before they are told

Limited teams that wait for fencing, and tasks of jobs that are over counted for all limited teams, turned nothing red: the test had no idle machine and no job after the change. It has both now, and goes red for each ("Cut, Back after 0 ms, cancelled after 2500 ms, next 3500"; "Cut, Back after 1500 ms").

--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -354,31 +354,40 @@
 }
 
 /// The only job that its team's limit allows is cancelled while its machines can't be asked, and the leader changes before,
-/// at the same time or after: the next job of the team starts only where the first is surely gone, and it starts.
+/// at the same time or after, or not at all; the next job of the team comes before or after the change. It starts only where
+/// the first is surely gone, although another machine is idle, and it starts.
 #[test]
 fn a_team_is_at_its_limit_while_its_job_is_cancelled_and_the_leader_changes() {
-    let (first, next) = ("job-000003", "job-000004");
+    let (first, next, filler) = ("job-000003", "job-000004", "job-000005");
+    let small = |run_s: f64| [("Crew", json!("small")), ("RuntimeS", json!(run_s)), ("Cores", json!(2.0))];
     for (n, at) in
         [Trouble::Cut, Trouble::Deaf, Trouble::Mute, Trouble::Hang, Trouble::LongHang].into_iter().enumerate()
     {
         for change in [Trouble::Back, Trouble::Ended, Trouble::Cornered, Trouble::Refused, Trouble::Island] {
-            for (cancelled, changed) in [(0, 1500), (300, 300), (2500, 0), (4500, 0)] {
-                let story = format!("{at:?}, {change:?} after {changed} ms, cancelled after {cancelled} ms");
+            let never = 69_000;
+            for (cancelled, changed, comes) in
+                [(0, 1500, 0), (300, 300, 0), (2500, 0, 3500), (4500, 0, 3000), (0, never, 0), (9000, 300, 3000)]
+            {
+                let story =
+                    format!("{at:?}, {change:?} after {changed} ms, cancelled after {cancelled} ms, next {comes}");
                 let mut sim = running(n as u64);
-                sim.submit(first, &[("Crew", json!("small")), ("RuntimeS", json!(300.0)), ("Cores", json!(2.0))]);
-                sim.run_until(sim.now + 9000);
-                sim.submit(next, &[("Crew", json!("small")), ("RuntimeS", json!(5.0)), ("Cores", json!(2.0))]);
-                sim.run_until(sim.now + 2000);
-                assert_eq!((sim.running(first), sim.running(next)), (2, 0), "{story}");
+                sim.submit(first, &small(300.0));
+                sim.submit(filler, &[("Pieces", json!(1)), ("RuntimeS", json!(3.0)), ("Cores", json!(4.0))]);
+                while sim.jobs[filler].told != "done" {
+                    assert!(sim.now < 60_000, "{story}: the filler ends, and leaves a machine idle");
+                    sim.run_until(sim.now + 100);
+                }
+                assert_eq!(sim.running(first), 2, "{story}");
                 at.begin_at(&mut sim, first);
                 let begin = sim.now;
-                let mut steps = [(cancelled, None), (changed, Some(change))];
-                steps.sort_by_key(|s| s.0);
+                let mut steps = [(cancelled, 0), (changed, 1), (comes, 2)];
+                steps.sort_unstable();
                 for (after, step) in steps {
                     sim.run_until(begin + after);
                     match step {
-                        Some(change) => change.begin(&mut sim),
-                        None => sim.cancel(first),
+                        0 => sim.cancel(first),
+                        1 => change.begin(&mut sim),
+                        _ => sim.submit(next, &small(5.0)),
                     }
                 }
                 sim.run_until(begin + 70_000);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -797,6 +797,13 @@
         self.jobs.insert(id.to_string(), job);
         self.after(0, Event::User(id.to_string(), UserCall::Submit(spec.to_string().into_bytes())));
         self.after(1000, Event::Poll(id.to_string()));
+        if self.close_looks {
+            // Some ask before they were told that it is accepted: what is told then must last as well.
+            for node in 0..self.site.nodes {
+                let soon = 2 + self.chance(200);
+                self.after(soon, Event::Look(node, id.to_string(), UserCall::Get(id.to_string())));
+            }
+        }
     }
 
     /// Submits a known job once more, as a late retry does.
