Limits of the state service that are announced are kept from now on; production's data and frames are read in a test

Settings without state.next work, a wrong one is named. A gang (group) is checked and then refused with 503 and Retry-After 30; it is not kept.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -1,6 +1,6 @@
 //! What users ask for: validation of jobs, the job book, and the answers.
 
-use crate::records::Record;
+use crate::records::{FINALS_LIMIT, RANGES_LIMIT, Record};
 use crate::settings::Team;
 use crate::units::{Attempt, JobId, MachineId, Ranges, Room, Span, TaskId, Time, Wall};
 use crate::wire::Flavor;
@@ -14,6 +14,9 @@
 /// Most machine types that a job may name.
 const TYPES_LIMIT: usize = 64;
 
+/// When the user of a gang may come back, in seconds: as late as users do.
+const GANGS_AFTER: u16 = 30;
+
 /// A job as it was accepted; short names keep the durable log small.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -32,6 +35,10 @@
     /// 0 (`prod`) to 3 (`low`).
     #[serde(rename = "r")]
     pub rank: u8,
+    /// All tasks run at the same time or none does. Not kept: gangs are refused for now, and the version in production
+    /// would read such a job as one of independent tasks.
+    #[serde(skip)]
+    pub gang: bool,
     /// Number of tasks.
     #[serde(rename = "n")]
     pub tasks: u32,
@@ -96,8 +103,8 @@
     Malformed(&'static str, &'static str),
     /// 422: can never run.
     Never(String),
-    /// 503: this node cannot decide yet.
-    NotYet(&'static str),
+    /// 503: not now; when to come back, in seconds.
+    NotYet(&'static str, u16),
 }
 
 fn bad(field: &'static str, problem: &'static str) -> Refusal {
@@ -153,7 +160,8 @@
     let id = text(&fields, "Ref")?.parse().map_err(|_| bad("Ref", "has the wrong form"))?;
     let class = text(&fields, "Lane")?;
     let team = text(&fields, "Crew")?;
-    let service = word(&fields, "Shape", &["batch", "standing"])? == 1;
+    let shape = word(&fields, "Shape", &["batch", "standing", "group"])?;
+    let (service, gang) = (shape == 1, shape == 2);
     let rank = word(&fields, "Rank", &["prod", "urgent", "standard", "low"])? as u8;
     let tasks = match fields.get("Pieces") {
         Some(Value::Number(n)) => match n.as_u64() {
@@ -194,6 +202,7 @@
         team,
         service,
         rank,
+        gang,
         tasks,
         need,
         image: text(&fields, "Reel")?,
@@ -222,20 +231,24 @@
     let Some(team) = teams.iter().find(|t| t.name == job.team) else {
         return Err(Refusal::Never(format!("unknown team `{}`", job.team)));
     };
-    let times = if job.service { u64::from(job.tasks) } else { 1 };
+    let times = if job.service || job.gang { u64::from(job.tasks) } else { 1 };
     for (name, max, need) in [("cpus_max", team.cpus_max, job.need.cpus), ("gpus_max", team.gpus_max, job.need.gpus)] {
         if max > 0.0 && need.saturating_mul(times) > (max * 1000.0 + 1e-6) as u64 {
             return Err(Refusal::Never(format!("needs more than {name} of team `{}`", job.team)));
         }
     }
-    let Some(flavors) = flavors else { return Err(Refusal::NotYet("machine types are not known yet")) };
+    let Some(flavors) = flavors else { return Err(Refusal::NotYet("machine types are not known yet", 1)) };
     let fits = flavors.iter().any(|f| {
         job.need.fits(&capacity(f))
             && job.types.as_ref().is_none_or(|types| types.contains(&f.name))
             && job.zone.as_ref().is_none_or(|zone| f.zones.contains(zone))
             && (!job.spread || job.tasks < 2 || (job.zone.is_none() && !job.together))
     });
-    if fits { Ok(()) } else { Err(Refusal::Never("a task fits no allowed machine type".into())) }
+    match (fits, job.gang) {
+        (false, _) => Err(Refusal::Never("a task fits no allowed machine type".into())),
+        (true, true) => Err(Refusal::NotYet("gangs are not taken yet", GANGS_AFTER)),
+        (true, false) => Ok(()),
+    }
 }
 
 /// Where a task is, or may be.
@@ -477,20 +490,20 @@
         }
         done.sort_unstable();
         cancelled.sort_unstable();
-        for part in done.chunks(200) {
+        for part in done.chunks(FINALS_LIMIT) {
             let mut last = 0;
             facts.push(Record::Finals(
                 part.iter().map(|(id, n)| (id - std::mem::replace(&mut last, *id), *n)).collect(),
                 vec![],
             ));
         }
-        for part in cancelled.chunks(400) {
+        for part in cancelled.chunks(FINALS_LIMIT) {
             let mut last = 0;
             facts.push(Record::Finals(vec![], part.iter().map(|id| id - std::mem::replace(&mut last, *id)).collect()));
         }
         for job in self.live.values().filter(|j| j.durable) {
             facts.push(Record::Job((*job.record).clone()));
-            for part in job.durably_done.split(200) {
+            for part in job.durably_done.split(RANGES_LIMIT) {
                 facts.push(Record::Done(job.record.id, part));
             }
         }
--- a/src/records.rs
+++ b/src/records.rs
@@ -133,6 +133,8 @@
     txn_ops: usize,
     commit_every: Span,
     refill: f64,
+    /// What `refill` falls to when the state service says that changes are too many.
+    lowered: f64,
     budget: f64,
     refilled: Time,
     calls: u64,
@@ -167,6 +169,10 @@
 
 const CALL_TIMEOUT: Span = Span(1500);
 const MANIFEST: &str = "snap/manifest";
+/// Ranges of tasks in one fact: it fits into a value of 2 KiB.
+pub const RANGES_LIMIT: usize = 60;
+/// Finished jobs in one fact, likewise.
+pub const FINALS_LIMIT: usize = 60;
 /// Bytes of a transaction that are not values, generously.
 const OVERHEAD: usize = 2048;
 const TXN_BYTES: usize = 64 * 1024 - OVERHEAD;
@@ -185,12 +191,15 @@
     ) -> Records {
         Records {
             token,
-            value_bytes: ((limits.value_kb * 1024.0) as usize).saturating_sub(64).min(TXN_BYTES - OVERHEAD),
-            txn_ops: limits.txn_ops,
+            // Sized for the smaller of both, since the limits may be lowered at any moment: a commit that is too large would
+            // be rejected each time it is repeated.
+            value_bytes: ((limits.value_kb_always() * 1024.0) as usize).saturating_sub(64).min(TXN_BYTES - OVERHEAD),
+            txn_ops: limits.txn_ops_always(),
             commit_every: tuning.commit_every,
             // A part is left to the other nodes' elections.
-            refill: limits.write_rps * 0.75,
-            budget: limits.write_rps * 0.5,
+            refill: limits.write_rates().0 * 0.75,
+            lowered: limits.write_rates().1 * 0.75,
+            budget: limits.write_rates().1 * 0.5,
             refilled: now,
             calls: 0,
             loaded: false,
@@ -242,7 +251,7 @@
     pub fn push_done(&mut self, task: TaskId) {
         for record in self.queue.iter_mut().rev().take(64) {
             match record {
-                Record::Done(job, tasks) if *job == task.job && tasks.parts() < 200 => {
+                Record::Done(job, tasks) if *job == task.job && tasks.parts() < RANGES_LIMIT => {
                     tasks.insert(task.index);
                     return;
                 }
@@ -377,7 +386,7 @@
             (Purpose::LoadSnapshot | Purpose::LoadLog, 200) => match reply.parse::<KeyPage>() {
                 Some(page) => {
                     self.in_flight.remove(at);
-                    self.page(now, purpose, page, out);
+                    self.page(now, purpose.clone(), page, out);
                     true
                 }
                 None => false,
@@ -412,8 +421,18 @@
             }
             _ => false,
         };
+        if reply.status == 429 {
+            self.refill = self.refill.min(self.lowered);
+            self.budget = 0.0;
+        }
         if !ok && let Some(flight) = self.in_flight.get_mut(at) {
-            flight.retry_at = Some(now + if reply.status == 0 { Span(50) } else { Span(250) });
+            let pause = match (reply.status, &purpose) {
+                (0, _) => Span(50),
+                // Users' commits go first.
+                (429, Purpose::Snapshot) => Span(1000),
+                _ => Span(250),
+            };
+            flight.retry_at = Some(now + pause);
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -158,6 +158,38 @@
     pub value_kb: f64,
     /// Most changes in a transaction.
     pub txn_ops: usize,
+    /// Limits that come into force at some moment, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits that the state service will have; what is not named stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextLimits {
+    /// Requests per second.
+    pub rps: Option<f64>,
+    /// Changes per second.
+    pub write_rps: Option<f64>,
+    /// Largest value.
+    pub value_kb: Option<f64>,
+    /// Most changes in a transaction.
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The largest value that is taken now and later.
+    pub fn value_kb_always(&self) -> f64 {
+        self.next.as_ref().and_then(|n| n.value_kb).map_or(self.value_kb, |kb| kb.min(self.value_kb))
+    }
+    /// The most changes of a transaction that is taken now and later.
+    pub fn txn_ops_always(&self) -> usize {
+        self.next.as_ref().and_then(|n| n.txn_ops).map_or(self.txn_ops, |ops| ops.min(self.txn_ops))
+    }
+    /// Changes per second now, and once the state service says that they are too many.
+    pub fn write_rates(&self) -> (f64, f64) {
+        let later = self.next.as_ref().and_then(|n| n.write_rps).unwrap_or(self.write_rps);
+        (self.write_rps, later.min(self.write_rps))
+    }
 }
 
 /// Limits of the cloud, shared by all nodes.
@@ -358,8 +390,19 @@
         if d.resources.fd_limit < FEWEST_FDS {
             return Err(field("deployment.resources.fd_limit", format!("must be at least {FEWEST_FDS}")));
         }
-        if d.state.txn_ops < 2 {
-            return Err(field("deployment.state.txn_ops", "must be at least 2"));
+        let next = d.state.next.clone().unwrap_or_default();
+        for (name, value) in [("rps", next.rps), ("write_rps", next.write_rps), ("value_kb", next.value_kb)] {
+            if let Some(value) = value.filter(|v| !(v.is_finite() && *v > 0.0)) {
+                return Err(field(
+                    format!("deployment.state.next.{name}"),
+                    format!("{value} is not a positive number"),
+                ));
+            }
+        }
+        for (name, ops) in [("txn_ops", Some(d.state.txn_ops)), ("next.txn_ops", next.txn_ops)] {
+            if ops.is_some_and(|ops| ops < 2) {
+                return Err(field(format!("deployment.state.{name}"), "must be at least 2"));
+            }
         }
         for (i, seed) in self.seeds.iter().enumerate() {
             if seed.node == self.node || self.seeds[..i].iter().any(|s| s.node == seed.node) {
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -65,6 +65,28 @@
     assert!(Settings::parse(&twice).unwrap_err().to_string().contains("seeds[0].node"));
 }
 
+#[test]
+fn limits_to_come_are_optional_and_checked() {
+    let with = |next: &str| {
+        SAMPLE.replace(
+            "    [deployment.cloud]",
+            &format!("    [deployment.state.next]\n    {next}\n    [deployment.cloud]"),
+        )
+    };
+    let limits = Settings::parse(&with("value_kb = 2.0\n    write_rps = 12.0")).unwrap().deployment.state;
+    assert_eq!((limits.value_kb_always(), limits.txn_ops_always(), limits.write_rates()), (2.0, 16, (20.0, 12.0)));
+    let larger = Settings::parse(&with("value_kb = 64.0\n    txn_ops = 99")).unwrap().deployment.state;
+    assert_eq!((larger.value_kb_always(), larger.txn_ops_always(), larger.write_rates()), (8.0, 16, (20.0, 20.0)));
+    for (wrong, name) in [
+        ("value_kb = 0.0", "deployment.state.next.value_kb"),
+        ("rps = -1.0", "deployment.state.next.rps"),
+        ("write_rps = nan", "deployment.state.next.write_rps"),
+        ("txn_ops = 1", "deployment.state.next.txn_ops"),
+    ] {
+        assert!(Settings::parse(&with(wrong)).unwrap_err().to_string().contains(name), "{wrong}");
+    }
+}
+
 #[test]
 fn open_jobs_and_connections_fit_into_the_memory() {
     for (memory_mb, fd_limit) in [(37.0, 900), (56.0, 900), (66.0, 1500), (104.0, 1500), (188.0, 2900)] {
--- a/src/term/users.rs
+++ b/src/term/users.rs
@@ -148,7 +148,7 @@
     let (status, body) = match refusal {
         Refusal::Malformed(field, problem) => (400, json!({"error": problem, "field": field})),
         Refusal::Never(why) => (422, json!({"error": why})),
-        Refusal::NotYet(why) => return unavailable(why),
+        Refusal::NotYet(why, seconds) => return Answer { retry_after: *seconds, ..unavailable(why) },
     };
     Answer { status, retry_after: 0, body: body.to_string() }
 }
--- /dev/null
+++ b/tests/versions.rs
@@ -0,0 +1,104 @@
+//! What the version in production wrote, and limits of the state service that are lowered: read and gone on with.
+//!
+//! `fixtures/production.json` was written by the commit that `deploy/service.toml` names as `production`: the keys of its state
+//! service in the middle of a simulated run (without the leader's, which ends with its lease), what its users had been told, and
+//! the bytes of its frames.
+
+mod support;
+
+use caperstile::peers::{Answer, Frame, HEADER_BYTES, UserCall};
+use serde_json::{Value, json};
+use support::{Sim, Site};
+
+fn production() -> Value {
+    let path = format!("{}/tests/fixtures/production.json", env!("CARGO_MANIFEST_DIR"));
+    serde_json::from_str(&std::fs::read_to_string(path).expect("the fixture")).expect("JSON")
+}
+
+/// A leader of this version reads the log and the snapshot back: every job has the state that its user was told, and goes on.
+#[test]
+fn what_the_production_version_wrote_is_read() {
+    let fixture = production();
+    let mut sim = Sim::new(1);
+    let keys = fixture["keys"].as_array().expect("keys");
+    sim.state.restore(keys.iter().map(|k| {
+        (k["K"].as_str().expect("a key").to_string(), k["V"].clone(), k["Stamp"].as_u64().expect("a revision"))
+    }));
+    sim.run_until(8000);
+    let leader = sim.leader().expect("somebody leads");
+    let term = sim.nodes[leader].as_ref().and_then(|c| c.term()).expect("a term");
+    assert!(term.loaded());
+    for told in fixture["told"].as_array().expect("pairs") {
+        let (id, status) = (told[0].as_str().expect("an id"), told[1].as_str().expect("a status"));
+        let id = id.parse().expect("an id");
+        let state = term.book().state(id).unwrap_or_else(|| panic!("{id} is forgotten"));
+        match status {
+            "done" | "aborted" => assert_eq!(state["Status"], status, "{id}"),
+            _ => assert!(term.book().ended(id).is_none(), "{id} is {state}"),
+        }
+    }
+    let job = |id: &str| term.book().get(id.parse().expect("an id")).expect("it is open").record.clone();
+    assert!(job("job-000001").service && !job("job-000001").gang);
+    assert!(job("job-000030").together && job("job-000030").team == "small" && job("job-000030").tasks == 9);
+}
+
+/// The bytes between nodes are those of the production version, both ways.
+#[test]
+fn frames_are_those_of_the_production_version() {
+    let answer = Answer { status: 503, retry_after: 10, body: "{\"error\":\"x\"}".into() };
+    let frames = [
+        ("submit", Frame::Request(7, UserCall::Submit(b"{\"Ref\":\"job-000001\"}".to_vec()))),
+        ("get", Frame::Request(8, UserCall::Get("job-000001".into()))),
+        ("cancel", Frame::Request(9, UserCall::Cancel("job-000001".into()))),
+        ("answer", Frame::Answer(7, answer)),
+        ("leads", Frame::Leads(41, "n1".into())),
+    ];
+    let fixture = production();
+    for (name, frame) in frames {
+        let text = fixture["frames"][name].as_str().expect("hexadecimal");
+        let bytes: Vec<u8> =
+            (0..text.len()).step_by(2).map(|i| u8::from_str_radix(&text[i..i + 2], 16).expect("a byte")).collect();
+        assert_eq!(frame.encode(), bytes, "{name}");
+        let header = Frame::header(bytes[..HEADER_BYTES].try_into().expect("a header")).expect("a header");
+        assert_eq!(Frame::decode(&header, bytes[HEADER_BYTES..].to_vec()), Ok(frame), "{name}");
+    }
+}
+
+/// Values of 8 KiB and transactions of 16 changes were written; then the limits fall to 1 KiB and 4 changes, in mid-run, with nodes
+/// that knew it was to come. What is stored stays readable, nothing is rejected for good, and the snapshot is written anew.
+#[test]
+fn the_state_service_lowers_its_limits() {
+    for seed in 0..4 {
+        let before = Site { value_kb: 8.0, page: 1000, snapshot_every: 30, ..Site::small() };
+        let mut sim = Sim::at(before.clone(), seed);
+        let submit = |sim: &mut Sim, from: u64, every: u64| {
+            for n in from..from + 60 {
+                let id = format!("job-{n:06}");
+                sim.submit(&id, &[("Pieces", json!(1)), ("RuntimeS", json!(1.0)), ("Cores", json!(1.0))]);
+                sim.run_until(sim.now + every);
+            }
+        };
+        submit(&mut sim, 0, 5);
+        let large = sim.state.keys.values().filter(|v| v.0.to_string().len() > 1024).count();
+        assert!(large > 0, "seed {seed}: something large is stored");
+        // The nodes are replaced by ones that know what is to come.
+        sim.site = Site { next: Some((1.0, 4, 15.0)), ..before };
+        for node in 0..3 {
+            sim.bounce(node, 300);
+            sim.run_until(sim.now + 4000);
+        }
+        submit(&mut sim, 100, 5);
+        (sim.state.value_bytes, sim.state.txn_ops) = (1024, 4);
+        let leader = sim.leader().expect("somebody leads");
+        sim.bounce(leader, 300);
+        submit(&mut sim, 200, 150);
+        sim.mend();
+        sim.run_until(sim.now + 60_000);
+        assert!(sim.broken.is_empty(), "seed {seed}: {:?}", sim.broken);
+        for (id, job) in &sim.jobs {
+            assert_eq!(job.told, "done", "seed {seed}: {id}");
+        }
+        let large = sim.state.keys.values().filter(|v| v.0.to_string().len() > 1024).count();
+        assert_eq!(large, 0, "seed {seed}: all is rewritten in a form that fits");
+    }
+}
