--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -461,7 +461,10 @@
         let ways = [Trouble::Back, Trouble::Ended, Trouble::Cornered, Trouble::Island];
         ways[(offset / 400 % 4) as usize].begin(&mut sim);
         sim.cancel("job-000002");
-        sim.run_until(40_000);
+        sim.run_until(sim.now + 3000);
+        // In half of them the state service is then out for longer than `cancel_s`.
+        sim.state.down = offset % 800 == 400;
+        sim.run_until(sim.now + sim.site.cancel_ms + 10_000);
         sim.mend();
         sim.run_until(200_000);
         kept(&sim, &format!("the leader n{leader} ends after {offset} ms"));
