--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -33,6 +33,13 @@
     assert!(sim.broken.is_empty(), "{story}: {:?}", sim.broken);
 }
 
+/// Every job but these has come to its end, and its user was told so.
+fn over(sim: &Sim, but: &[&str], story: &str) {
+    for (id, job) in sim.jobs.iter().filter(|(id, _)| !but.contains(&id.as_str())) {
+        assert!(matches!(job.told.as_str(), "done" | "aborted"), "{story}: {id} is {}", job.told);
+    }
+}
+
 /// What becomes of the controller that confirms a cancellation, right after it did.
 #[derive(Debug, Clone, Copy)]
 enum Fate {
@@ -235,12 +242,12 @@
     sim.submit(next, &[("Crew", json!("small")), ("RuntimeS", json!(5.0))]);
     let mut shorts = 0;
     let begin = sim.now + 6000;
-    let (mut acts, mut over) = (vec![begin, begin + gap, begin + gap + 40], false);
+    let (mut acts, mut ended) = (vec![begin, begin + gap, begin + gap + 40], false);
     acts.reverse();
     sim.close_looks = true;
-    while !over {
+    while !ended {
         let at = acts.last().copied().unwrap_or(u64::MAX).min(24_000 + shorts * 1300);
-        over = at > begin + 60_000;
+        ended = at > begin + 60_000;
         sim.run_until(at.min(begin + 60_000));
         if at == 24_000 + shorts * 1300 {
             sim.submit(&short(shorts), &[("Pieces", json!(1)), ("RuntimeS", json!(3.0)), ("Cores", json!(1.0))]);
@@ -264,9 +271,7 @@
     assert_eq!(sim.jobs[SERVICE].told, "aborted", "{story}");
     assert_eq!(sim.jobs[limited].told, "aborted", "{story}");
     assert_eq!(sim.running(SERVICE) + sim.running(limited), 0, "{story}");
-    for (id, job) in sim.jobs.iter().filter(|(id, _)| *id != BATCH) {
-        assert!(matches!(job.told.as_str(), "done" | "aborted"), "{story}: {id} is {}", job.told);
-    }
+    over(&sim, &[BATCH], &story);
     let (cancels, questions) = sim.refused;
     println!(
         "{story}: {cancels} cancellations and {questions} questions refused, {} starts after one",
@@ -437,9 +442,7 @@
         sim.mend();
         sim.run_until(sim.now + 120_000);
         kept(&sim, &format!("seed {seed}"));
-        for (id, job) in sim.jobs.iter().filter(|(id, _)| ![SERVICE, BATCH].contains(&id.as_str())) {
-            assert!(matches!(job.told.as_str(), "done" | "aborted"), "seed {seed}: {id} is {}", job.told);
-        }
+        over(&sim, &[SERVICE, BATCH], &format!("seed {seed}"));
         assert_eq!(sim.running(SERVICE), 2, "seed {seed}");
     }
 }
@@ -468,9 +471,7 @@
         sim.mend();
         sim.run_until(200_000);
         kept(&sim, &format!("the leader n{leader} ends after {offset} ms"));
-        for (id, job) in &sim.jobs {
-            assert!(matches!(job.told.as_str(), "done" | "aborted"), "{offset} ms: {id} is {}", job.told);
-        }
+        over(&sim, &[], &format!("{offset} ms"));
     }
 }
 
@@ -495,9 +496,7 @@
     sim.mend();
     sim.run_until(sim.now + 100_000);
     kept(&sim, "four a second");
-    for (id, job) in &sim.jobs {
-        assert!(matches!(job.told.as_str(), "done" | "aborted"), "{id} is {}", job.told);
-    }
+    over(&sim, &[], "four a second");
     let log = sim.state.keys.keys().filter(|k| k.starts_with("log/")).count();
     assert!(log <= 2 * sim.site.snapshot_every as usize, "{log} log entries are left");
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -107,6 +107,11 @@
     format!("n{node}")
 }
 
+/// The job of a task.
+fn job_of(task: &str) -> &str {
+    task.split('/').next().unwrap_or_default()
+}
+
 /// The zone that a node is in.
 pub fn zone_of(site: &Site, node: usize) -> &'static str {
     site.zones[node % site.zones.len()]
@@ -205,8 +210,13 @@
         }
     }
 
+    /// Whether this node gets nothing but 503.
+    fn refuses(&self, node: usize) -> bool {
+        self.down || self.deaf.contains(&node)
+    }
+
     pub fn handle(&mut self, now: u64, node: usize, call: &StateCall) -> (u16, Value) {
-        if self.down || self.deaf.contains(&node) {
+        if self.refuses(node) {
             return (503, json!({}));
         }
         self.expire(now);
@@ -730,9 +740,8 @@
             self.led = token;
             for (machine, report) in std::mem::take(&mut self.kept) {
                 for to in 0..self.site.nodes {
-                    self.requests += 1;
-                    let (copy, soon) = (self.requests * self.count() + to as u64, self.chance(400));
-                    self.after(soon, Event::Report(machine, copy, report.clone()));
+                    let soon = self.chance(400);
+                    self.copy_report(machine, to as u64, soon, &report);
                 }
             }
         }
@@ -1186,16 +1195,21 @@
             self.kept.push((machine, report.clone()));
         }
         if self.copies.0 > 0 && self.chance(100) < self.copies.0 {
-            self.requests += 1;
             let (to, late) = (self.chance(self.count()), 500 + self.chance(self.copies.1.max(1)));
-            let copy = self.requests * self.count() + to;
-            self.after(late, Event::Report(machine, copy, report.clone()));
+            self.copy_report(machine, to, late, &report);
         }
         self.askers.insert(number, Asker::Worker { machine, number, session, sent: now });
         self.after(2, Event::Report(machine, number, report));
         self.after(4000, Event::WorkerTick(machine));
     }
 
+    /// A copy of a report arrives at this node, so much later; nobody waits for its answer.
+    fn copy_report(&mut self, machine: u64, to: u64, late: u64, report: &Report) {
+        self.requests += 1;
+        let number = self.requests * self.count() + to;
+        self.after(late, Event::Report(machine, number, Box::new(report.clone())));
+    }
+
     /// When the lease is over, every task is killed and forgotten.
     fn check_lease(&mut self, machine: u64) {
         let now = self.now;
@@ -1236,12 +1250,12 @@
                     if w.tasks.contains_key(attempt) {
                         continue;
                     }
-                    let id = task.split('/').next().unwrap_or_default();
+                    let id = job_of(task);
                     let Some(job) = self.jobs.get(id) else { continue };
                     let image = job.spec["Reel"].as_str().unwrap_or_default().to_string();
                     let need = job.spec["Cores"].as_f64().unwrap_or(0.0);
                     let jobs = &self.jobs;
-                    let cores = |t: &OnWorker| jobs[t.task.split('/').next().unwrap()].spec["Cores"].as_f64().unwrap();
+                    let cores = |t: &OnWorker| jobs[job_of(&t.task)].spec["Cores"].as_f64().unwrap();
                     let used: f64 = w.tasks.values().filter(|t| t.state != TaskState::Exited).map(cores).sum();
                     let refusal = if w.tasks.values().any(|t| t.task == *task) {
                         Some("in_use")
@@ -1316,7 +1330,7 @@
         let Some(t) = w.tasks.get(&attempt).filter(|t| t.state == TaskState::Fetching) else { return };
         let task = t.task.clone();
         let (zone, spot, sick, was_done) = (w.zone.clone(), w.spot, w.sick, w.done.contains(&task));
-        let id = task.split('/').next().unwrap_or_default().to_string();
+        let id = job_of(&task).to_string();
         let now = self.now;
         let mut broken = Vec::new();
         let mut in_zone = 0;
@@ -1407,7 +1421,7 @@
         let cancel_ms = self.site.cancel_ms;
         for w in self.workers.values().filter(|w| !w.hung) {
             for t in w.tasks.values().filter(|t| matches!(t.state, TaskState::Running | TaskState::Flushing)) {
-                let job = &self.jobs[t.task.split('/').next().unwrap()];
+                let job = &self.jobs[job_of(&t.task)];
                 if job.cancelled_at.is_some_and(|at| now > at + cancel_ms) && self.overran.insert(t.task.clone()) {
                     self.broken.push(format!("{now} ran_cancelled: {}", t.task));
                 }
@@ -1423,16 +1437,12 @@
             return;
         }
         self.waiting_at = self.now;
-        let cores = |task: &str| self.jobs[task.split('/').next().unwrap()].spec["Cores"].as_f64().unwrap();
+        let cores = |task: &str| self.jobs[job_of(task)].spec["Cores"].as_f64().unwrap();
         let on = |w: &Worker| -> Vec<String> {
             w.tasks.values().filter(|t| t.state != TaskState::Exited).map(|t| t.task.clone()).collect()
         };
         let held: Vec<String> = self.workers.values().flat_map(on).collect();
-        let small: f64 = held
-            .iter()
-            .filter(|t| self.jobs[t.split('/').next().unwrap()].spec["Crew"] == "small")
-            .map(|t| cores(t))
-            .sum();
+        let small: f64 = held.iter().filter(|t| self.jobs[job_of(t)].spec["Crew"] == "small").map(|t| cores(t)).sum();
         let mut passed_over = BTreeMap::new();
         for (id, job) in self.jobs.iter().filter(|(_, j)| j.accepted && !j.cancelling && j.over_at.is_none()) {
             let need = job.spec["Cores"].as_f64().unwrap();
@@ -1477,7 +1487,7 @@
             }
             Event::State(node, epoch, slot, id, call) => {
                 self.check_enrolled(&call);
-                let refused = self.state.down || self.state.deaf.contains(&node);
+                let refused = self.state.refuses(node);
                 let (share, at_once) = self.late_writes;
                 if matches!(*call, StateCall::Txn(_)) && !refused && share > 0 && self.chance(100) < share {
                     let late = if at_once { 0 } else { 2000 + self.chance(10_000) };
