--- a/src/controller.rs
+++ b/src/controller.rs
@@ -6,9 +6,9 @@
 use crate::intake::JobRecord;
 use crate::leadership::{self, Leadership};
 use crate::peers::{Answer, UserCall};
-use crate::reign::{Over, Reign};
 use crate::settings::{Seed, Settings};
 use crate::store::{Reply, StateCall};
+use crate::term::{Over, Term};
 use crate::units::{MachineId, Span, Time, Token, Wall};
 use crate::wire::{Commands, Report};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -29,7 +29,7 @@
 pub enum Slot {
     /// Leadership.
     Leadership,
-    /// Records, of the reign with this token.
+    /// Records, of the term with this token.
     Records(u64),
 }
 
@@ -48,9 +48,9 @@
     Up(Origin),
     /// The state service answered, or did not.
     State(Slot, u64, Reply),
-    /// The cloud answered, or did not; with the reign's token.
+    /// The cloud answered, or did not; with the term's token.
     Cloud(u64, u64, Reply),
-    /// A worker answered a direct command, or did not; with the reign's token.
+    /// A worker answered a direct command, or did not; with the term's token.
     Command(u64, MachineId, u64, Reply),
     /// The leader answered a forwarded request.
     Forwarded(u64, Answer),
@@ -71,7 +71,7 @@
     Cloud(u64, u64, CloudCall),
     /// Send commands to a worker.
     Command {
-        /// The reign's token.
+        /// The term's token.
         token: u64,
         /// Machine.
         machine: MachineId,
@@ -123,7 +123,7 @@
 pub struct Controller {
     settings: Settings,
     leadership: Leadership,
-    reign: Option<Reign>,
+    term: Option<Term>,
     parked: VecDeque<Parked>,
     forwards: BTreeMap<u64, Forward>,
     forward_ids: u64,
@@ -150,7 +150,7 @@
         Controller {
             settings,
             leadership,
-            reign: None,
+            term: None,
             parked: VecDeque::new(),
             forwards: BTreeMap::new(),
             forward_ids: 0,
@@ -163,9 +163,9 @@
         }
     }
 
-    /// The reign, while this node leads.
-    pub fn reign(&self) -> Option<&Reign> {
-        self.reign.as_ref()
+    /// The term, while this node leads.
+    pub fn term(&self) -> Option<&Term> {
+        self.term.as_ref()
     }
 
     /// Takes one input and says what is to be done.
@@ -174,8 +174,8 @@
         match input {
             Input::Tick => self.tick(now, wall, &mut out),
             Input::Behind(by) => {
-                if let Some(reign) = &mut self.reign {
-                    reign.behind = by;
+                if let Some(term) = &mut self.term {
+                    term.behind = by;
                 }
             }
             Input::User(origin, call) => self.user(now, wall, origin, call, now + PATIENCE, &mut out),
@@ -187,18 +187,18 @@
                 self.led(now, wall, events, &mut out);
             }
             Input::State(Slot::Records(token), id, reply) => {
-                self.with_reign(now, token, &mut out, |reign, certain, out| {
-                    reign.state(now, wall, certain, id, &reply, out)
+                self.with_term(now, token, &mut out, |term, certain, out| {
+                    term.state(now, wall, certain, id, &reply, out)
                 });
             }
             Input::Cloud(token, id, reply) => {
-                self.with_reign(now, token, &mut out, |reign, certain, out| {
-                    reign.cloud(now, wall, certain, id, &reply, out)
+                self.with_term(now, token, &mut out, |term, certain, out| {
+                    term.cloud(now, wall, certain, id, &reply, out)
                 });
             }
             Input::Command(token, machine, id, reply) => {
-                self.with_reign(now, token, &mut out, |reign, certain, out| {
-                    reign.command_answer(now, wall, certain, machine, id, &reply, out)
+                self.with_term(now, token, &mut out, |term, certain, out| {
+                    term.command_answer(now, wall, certain, machine, id, &reply, out)
                 });
             }
             Input::Forwarded(id, answer) => {
@@ -234,23 +234,23 @@
         out
     }
 
-    fn with_reign(
+    fn with_term(
         &mut self,
         now: Time,
         token: u64,
         out: &mut Vec<Effect>,
-        act: impl FnOnce(&mut Reign, bool, &mut Vec<Effect>),
+        act: impl FnOnce(&mut Term, bool, &mut Vec<Effect>),
     ) {
         let certain = self.leadership.certain(now);
-        if let Some(reign) = self.reign.as_mut().filter(|r| r.token().0 == token) {
-            act(reign, certain, out);
+        if let Some(term) = self.term.as_mut().filter(|r| r.token().0 == token) {
+            act(term, certain, out);
         }
-        self.check_reign(now, out);
+        self.check_term(now, out);
     }
 
-    /// Ends the reign if it has learnt of a higher token or a lost key.
-    fn check_reign(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if let Some(why) = self.reign.as_ref().and_then(Reign::over) {
+    /// Ends the term if it has learnt of a higher token or a lost key.
+    fn check_term(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if let Some(why) = self.term.as_ref().and_then(Term::over) {
             let mut events = Vec::new();
             if why == Over::NoWorkers {
                 self.made_room = Some(now);
@@ -269,14 +269,14 @@
                 leadership::Event::Elected(token) => {
                     self.ready = true;
                     self.announced = Time(0);
-                    let mut reign = Reign::new(token, now, &self.settings);
-                    reign.start(now, wall, out);
-                    self.reign = Some(reign);
+                    let mut term = Term::new(token, now, &self.settings);
+                    term.start(now, wall, out);
+                    self.term = Some(term);
                     self.unpark(now, wall, out);
                 }
                 leadership::Event::SteppedDown(_) => {
-                    if let Some(reign) = self.reign.take() {
-                        reign.abdicate(out);
+                    if let Some(term) = self.term.take() {
+                        term.abdicate(out);
                     }
                 }
                 leadership::Event::Leader(leader) => {
@@ -299,20 +299,20 @@
         if let Some(leader) = self.leadership.leader() {
             self.last_led.insert(leader.to_string(), now);
         }
-        if let Some(reign) = &mut self.reign {
+        if let Some(term) = &mut self.term {
             let lately = |s: &&Seed| self.last_led.get(&s.node).is_some_and(|at| now.since(*at) < LED_LATELY);
-            reign.led_from_within = self.settings.seeds.iter().filter(lately).map(|s| s.area.clone()).collect();
-            reign.tick(now, wall, certain, out);
+            term.led_from_within = self.settings.seeds.iter().filter(lately).map(|s| s.area.clone()).collect();
+            term.tick(now, wall, certain, out);
             if may_make_room {
-                reign.look_for_workers();
+                term.look_for_workers();
             }
         }
-        self.check_reign(now, out);
-        if let Some(reign) = self.reign.as_ref().filter(|_| certain && now.since(self.announced) >= ANNOUNCE_EVERY) {
+        self.check_term(now, out);
+        if let Some(term) = self.term.as_ref().filter(|_| certain && now.since(self.announced) >= ANNOUNCE_EVERY) {
             self.announced = now;
-            out.push(Effect::Announce(reign.token()));
+            out.push(Effect::Announce(term.token()));
         }
-        if self.reign.as_ref().is_some_and(Reign::loaded) && !self.parked.is_empty() {
+        if self.term.as_ref().is_some_and(Term::loaded) && !self.parked.is_empty() {
             self.unpark(now, wall, out);
         }
         while self.parked.front().is_some_and(|p| p.until <= now) {
@@ -357,9 +357,9 @@
 
     fn user(&mut self, now: Time, wall: Wall, origin: Origin, call: UserCall, until: Time, out: &mut Vec<Effect>) {
         let certain = self.leadership.certain(now);
-        if let Some(reign) = &mut self.reign {
-            if reign.loaded() {
-                reign.user(now, wall, certain, origin, &call, out);
+        if let Some(term) = &mut self.term {
+            if term.loaded() {
+                term.user(now, wall, certain, origin, &call, out);
                 return;
             }
         } else if let Some(leader) = self.leadership.leader().map(str::to_string)
@@ -388,10 +388,10 @@
 
     fn report(&mut self, now: Time, wall: Wall, origin: Origin, report: &Report, out: &mut Vec<Effect>) {
         let certain = self.leadership.certain(now);
-        match &mut self.reign {
-            Some(reign) if reign.loaded() => {
-                reign.report(now, wall, certain, origin, report, out);
-                self.check_reign(now, out);
+        match &mut self.term {
+            Some(term) if term.loaded() => {
+                term.report(now, wall, certain, origin, report, out);
+                self.check_term(now, out);
             }
             Some(_) => out.push(Effect::Answer(origin, unavailable("loading"))),
             None => {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -20,7 +20,7 @@
     /// `GET /work/{id}`.
     Get = 2,
     /// `POST /work/{id}/withdraw`.
-    Withdraw = 3,
+    Cancel = 3,
     /// An answer.
     Answer = 4,
     /// The sender leads; `id` is its token.
@@ -58,7 +58,7 @@
     /// Ask for a job: the id as it came.
     Get(String),
     /// Cancel a job: the id as it came.
-    Withdraw(String),
+    Cancel(String),
 }
 
 /// An answer to a user or worker.
@@ -94,7 +94,7 @@
         let (kind, id, status, retry_after, body): (Kind, u64, u16, u16, &[u8]) = match self {
             Frame::Request(id, UserCall::Submit(body)) => (Kind::Submit, *id, 0, 0, body),
             Frame::Request(id, UserCall::Get(name)) => (Kind::Get, *id, 0, 0, name.as_bytes()),
-            Frame::Request(id, UserCall::Withdraw(name)) => (Kind::Withdraw, *id, 0, 0, name.as_bytes()),
+            Frame::Request(id, UserCall::Cancel(name)) => (Kind::Cancel, *id, 0, 0, name.as_bytes()),
             Frame::Leads(token, node) => (Kind::Leads, *token, 0, 0, node.as_bytes()),
             Frame::Answer(id, a) => (Kind::Answer, *id, a.status, a.retry_after, a.body.as_bytes()),
         };
@@ -129,7 +129,7 @@
         Ok(match header.kind {
             k if k == Kind::Submit as u8 => Frame::Request(id, UserCall::Submit(body)),
             k if k == Kind::Get as u8 => Frame::Request(id, UserCall::Get(text(body)?)),
-            k if k == Kind::Withdraw as u8 => Frame::Request(id, UserCall::Withdraw(text(body)?)),
+            k if k == Kind::Cancel as u8 => Frame::Request(id, UserCall::Cancel(text(body)?)),
             k if k == Kind::Leads as u8 => Frame::Leads(id, text(body)?),
             k if k == Kind::Answer as u8 => Frame::Answer(
                 id,
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -230,7 +230,7 @@
                 break;
             }
             room = room.saturating_sub(entry.need.cpus);
-            self.withdraw(id, entry.job);
+            self.cancel(id, entry.job);
         }
         for server in fresh {
             self.touched.insert(server.id);
@@ -252,13 +252,13 @@
                 }
             });
             for job in stuck {
-                self.withdraw(id, job);
+                self.cancel(id, job);
             }
         }
     }
 
     /// Takes the last waiting task of this job out of a machine's queue.
-    fn withdraw(&mut self, id: MachineId, job: JobId) {
+    fn cancel(&mut self, id: MachineId, job: JobId) {
         if let Some(at) = self.servers.get(&id).and_then(|s| s.queue.iter().rposition(|e| e.job == job)) {
             self.take(id, at);
         }
--- a/src/renting.rs
+++ b/src/renting.rs
@@ -4,9 +4,9 @@
 use crate::fleet::{self, Demand, Place};
 use crate::intake::{self, Job};
 use crate::plan::Order;
-use crate::reign::Reign;
 use crate::scheduling::order_of;
 use crate::settings::Objective;
+use crate::term::Term;
 use crate::units::{JobId, MachineId, Room, Span, Time, Wall};
 use crate::watching::LostZone;
 use crate::workers::{Hold, Machine};
@@ -22,7 +22,7 @@
 /// Why a machine is drained whose services were moved to others.
 const CONSOLIDATED: &str = "its services fit elsewhere";
 
-impl Reign {
+impl Term {
     /// What waits too long on the machines that there are, as classes.
     fn demands(&self, now: Time) -> Vec<Demand> {
         let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(f64::MAX, f64::min);
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -3,9 +3,9 @@
 use super::Message;
 use crate::controller::{Input, Slot};
 use crate::fleet::CloudCall;
-use crate::reign::COMMAND_TIMEOUT;
 use crate::settings::Settings;
 use crate::store::{Reply, StateCall};
+use crate::term::COMMAND_TIMEOUT;
 use crate::units::MachineId;
 use crate::wire::{Commands, LeaseRequest, MachineNames};
 use bytes::Bytes;
--- a/src/runtime/http.rs
+++ b/src/runtime/http.rs
@@ -113,7 +113,7 @@
     let asked = match (method.as_str(), path.strip_prefix("/work")) {
         ("POST", Some("")) => Asked::User(UserCall::Submit(body)),
         (verb, Some(rest)) if rest.starts_with('/') => match (verb, rest[1..].strip_suffix("/withdraw")) {
-            ("POST", Some(id)) => Asked::User(UserCall::Withdraw(id.to_string())),
+            ("POST", Some(id)) => Asked::User(UserCall::Cancel(id.to_string())),
             ("GET", None) => Asked::User(UserCall::Get(rest[1..].to_string())),
             _ => return plain(405, "no such method here"),
         },
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -4,7 +4,7 @@
 use crate::fleet;
 use crate::intake::{self, Job};
 use crate::plan::{self, Entry, Order, Profile, Server, World, Zones};
-use crate::reign::Reign;
+use crate::term::Term;
 use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskId, Time, Wall};
 use crate::workers::{Doubt, Hold, Machine, Phase};
 use log::{debug, info};
@@ -27,7 +27,7 @@
 /// Used by tasks of which nothing is known: no limited team may start anything beside it.
 const UNKNOWN: Room = Room { cpus: u64::MAX >> 32, gpus: u64::MAX >> 32, memory: u64::MAX >> 32 };
 
-/// The parts of a reign that planning reads, borrowed beside the plan itself.
+/// The parts of a term that planning reads, borrowed beside the plan itself.
 pub(crate) struct View<'a> {
     book: &'a intake::JobBook,
     machines: &'a BTreeMap<MachineId, Machine>,
@@ -178,7 +178,7 @@
     hold.claimed && hold.occupies() && hold.stop.is_none() && hold.rank > rank && hold.predicted.is_some()
 }
 
-impl Reign {
+impl Term {
     pub(crate) fn parts(&self) -> View<'_> {
         View {
             book: &self.book,
--- a/src/reign.rs
+++ b/src/term.rs
@@ -29,7 +29,7 @@
 /// Facts that may wait to become durable.
 const BACKLOG_LIMIT: usize = 5000;
 
-/// Why a reign is over.
+/// Why a term is over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Over {
     /// Somebody else has won the key.
@@ -59,7 +59,7 @@
 }
 
 /// One node's time as leader.
-pub struct Reign {
+pub struct Term {
     pub(crate) settings: Settings,
     pub(crate) token: Token,
     pub(crate) since: Time,
@@ -109,17 +109,17 @@
     /// How long nothing of ours has reached any worker, counted in ticks, so that a process that stood still
     /// does not take its own absence for silence.
     pub(crate) unheard: Span,
-    /// Whether anything has reached a worker in this reign.
+    /// Whether anything has reached a worker in this term.
     pub(crate) reaches: bool,
     /// So long inputs wait: planning does less then, so that reports and users come first.
     pub(crate) behind: Span,
     pub(crate) over: Option<Over>,
 }
 
-impl Reign {
-    /// Begins a reign.
-    pub fn new(token: Token, now: Time, settings: &Settings) -> Reign {
-        Reign {
+impl Term {
+    /// Begins a term.
+    pub fn new(token: Token, now: Time, settings: &Settings) -> Term {
+        Term {
             token,
             since: now,
             records: Records::new(token, now, &settings.deployment.state, &settings.tuning),
@@ -169,7 +169,7 @@
         self.hired(now, wall, events, out);
     }
 
-    /// The token of this reign.
+    /// The token of this term.
     pub fn token(&self) -> Token {
         self.token
     }
@@ -177,7 +177,7 @@
     pub fn loaded(&self) -> bool {
         self.records.loaded()
     }
-    /// Why this reign is over, if it is.
+    /// Why this term is over, if it is.
     pub fn over(&self) -> Option<Over> {
         self.over
     }
@@ -222,7 +222,7 @@
         let answer = match call {
             UserCall::Submit(body) => self.submit(now, wall, certain, origin, body),
             UserCall::Get(id) => Some(self.get(certain, id)),
-            UserCall::Withdraw(id) => self.withdraw(now, certain, origin, id),
+            UserCall::Cancel(id) => self.cancel(now, certain, origin, id),
         };
         if let Some(answer) = answer {
             out.push(Effect::Answer(origin, answer));
@@ -299,7 +299,7 @@
         }
     }
 
-    fn withdraw(&mut self, now: Time, certain: bool, origin: Origin, id: &str) -> Option<Answer> {
+    fn cancel(&mut self, now: Time, certain: bool, origin: Origin, id: &str) -> Option<Answer> {
         let Ok(job_id) = id.parse::<JobId>() else {
             return Some(Answer {
                 status: 400,
@@ -415,7 +415,7 @@
         }
     }
 
-    /// A fact of this reign became durable: now it may be told and acted on.
+    /// A fact of this term became durable: now it may be told and acted on.
     fn durable(&mut self, now: Time, wall: Wall, record: &Record, out: &mut Vec<Effect>) {
         self.dirty = true;
         match record {
--- a/src/watching.rs
+++ b/src/watching.rs
@@ -1,7 +1,7 @@
 //! Looking after machines: which are silent, in which zones, and whether this node reaches any at all.
 
 use crate::controller::Effect;
-use crate::reign::{COMMAND_TIMEOUT, Over, Reign};
+use crate::term::{COMMAND_TIMEOUT, Over, Term};
 use crate::units::{MachineId, Span, Time};
 use crate::wire::Commands;
 use crate::workers::{self, Flight, Machine};
@@ -32,7 +32,7 @@
     }
 }
 
-impl Reign {
+impl Term {
     /// Notes that this node reaches workers, if it does.
     pub(crate) fn heard_of(&mut self, now: Time, id: MachineId) {
         if self.machines.get(&id).is_some_and(|m| m.reached == now && m.fenced) {
@@ -41,12 +41,12 @@
         }
     }
 
-    /// Ends the reign if this node reaches no worker, although it is not alone: cut off from the workers alone
+    /// Ends the term if this node reaches no worker, although it is not alone: cut off from the workers alone
     /// it kept its key, while every lease ran out and every task was lost.
     pub fn look_for_workers(&mut self) {
         let counted = || self.machines.values().filter(|m| m.regular || !self.reaches);
         if counted().nth(FEW - 1).is_none() {
-            // Without workers there is no silence: the first ones that came up together ended a reign that had waited
+            // Without workers there is no silence: the first ones that came up together ended a term that had waited
             // for them.
             self.unheard = Span(0);
             return;
