--- a/benches/plan.rs
+++ b/benches/plan.rs
@@ -45,6 +45,7 @@
         endless: false,
         deadline: Time(60_000 + seq * 1000),
         tied: false,
+        gang: false,
     }
 }
 
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -10,6 +10,7 @@
 use crate::store::{Reply, StateCall};
 use crate::term::{Over, Term};
 use crate::units::{MachineId, Span, Time, Token, Wall};
+use crate::upgrade::{self, Format, Upgrade};
 use crate::wire::{Commands, Report};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde_json::json;
@@ -31,6 +32,8 @@
     Leadership,
     /// Records, of the term with this token.
     Records(u64),
+    /// The upgrade.
+    Upgrade,
 }
 
 /// What happens to a node.
@@ -123,6 +126,7 @@
 pub struct Controller {
     settings: Settings,
     leadership: Leadership,
+    upgrade: Upgrade,
     term: Option<Term>,
     parked: VecDeque<Parked>,
     forwards: BTreeMap<u64, Forward>,
@@ -147,9 +151,11 @@
     pub fn new(settings: Settings, incarnation: u64) -> Controller {
         let rng = SmallRng::seed_from_u64(incarnation);
         let leadership = Leadership::new(&settings.node, incarnation, settings.tuning.leader_lease, rng);
+        let upgrade = Upgrade::new(&settings.node, settings.seeds.iter().map(|s| s.node.clone()));
         Controller {
             settings,
             leadership,
+            upgrade,
             term: None,
             parked: VecDeque::new(),
             forwards: BTreeMap::new(),
@@ -186,6 +192,11 @@
                 self.leadership.reply(now, id, &reply, &mut events);
                 self.led(now, wall, events, &mut out);
             }
+            Input::State(Slot::Upgrade, id, reply) => {
+                let mut events = Vec::new();
+                self.upgrade.reply(now, id, &reply, &mut events);
+                self.upgraded(events, &mut out);
+            }
             Input::State(Slot::Records(token), id, reply) => {
                 self.with_term(now, token, &mut out, |term, certain, out| {
                     term.state(now, wall, certain, id, &reply, out)
@@ -266,10 +277,10 @@
         for event in events {
             match event {
                 leadership::Event::Call(id, call) => out.push(Effect::State(Slot::Leadership, id, call)),
-                leadership::Event::Elected(token) => {
+                leadership::Event::Elected(token, format) => {
                     self.ready = true;
                     self.announced = Time(0);
-                    let mut term = Term::new(token, now, &self.settings);
+                    let mut term = Term::new(token, format, now, &self.settings);
                     term.start(now, wall, out);
                     self.term = Some(term);
                     self.unpark(now, wall, out);
@@ -289,11 +300,24 @@
         }
     }
 
+    fn upgraded(&mut self, events: Vec<upgrade::Event>, out: &mut Vec<Effect>) {
+        for event in events {
+            match event {
+                upgrade::Event::Call(id, call) => out.push(Effect::State(Slot::Upgrade, id, call)),
+                upgrade::Event::AllUpgraded => self.leadership.move_key(),
+            }
+        }
+    }
+
     fn tick(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
         let mut events = Vec::new();
         self.leadership.tick(now, &mut events);
         self.led(now, wall, events, out);
         let certain = self.leadership.certain(now);
+        let leads_old_format = certain && self.leadership.format() == Format::One;
+        let mut events = Vec::new();
+        self.upgrade.tick(now, leads_old_format, &mut events);
+        self.upgraded(events, out);
         let may_make_room =
             certain && !self.links.is_empty() && self.made_room.is_none_or(|at| now.since(at) >= MAKES_ROOM_EVERY);
         if let Some(leader) = self.leadership.leader() {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -390,6 +390,8 @@
     pub zone: Option<String>,
     /// Most of them in one zone.
     pub zone_cap: u32,
+    /// Whether all of them must be in the same zone.
+    pub one_zone: bool,
 }
 
 /// Which machines to rent for what waits: the cheapest per task, spread over zones.
@@ -410,7 +412,12 @@
                 && demand.zone.as_ref().is_none_or(|z| *z == place.1)
                 && demand.types.as_ref().is_none_or(|t| t.contains(&place.0))
         };
+        // Tasks that must be together take what is rented already only where it has room for all of them.
+        let mut only = if demand.one_zone { zone_with_room(&bought, demand, &allowed) } else { None };
         for (place, free) in &mut bought {
+            if demand.one_zone && only.as_ref() != Some(&place.1) {
+                continue;
+            }
             while left > 0 && allowed(place) && demand.need.fits(free) {
                 let used = per_zone.entry(place.1.clone()).or_insert(0);
                 if *used >= demand.zone_cap {
@@ -441,7 +448,8 @@
                         let place = (flavor.name.clone(), zone.clone(), spot);
                         let used = per_zone.get(zone).copied().unwrap_or(0);
                         let take = fit.min(left).min(demand.zone_cap.saturating_sub(used));
-                        if take == 0 || !allowed(&place) || refused(&place) {
+                        let elsewhere = only.as_ref().is_some_and(|only| only != zone);
+                        if take == 0 || elsewhere || !allowed(&place) || refused(&place) {
                             continue;
                         }
                         let price = if spot { flavor.spot_price } else { flavor.price };
@@ -460,6 +468,9 @@
                 free.sub(&demand.need);
             }
             left -= take;
+            if demand.one_zone {
+                only = Some(place.1.clone());
+            }
             *per_zone.entry(place.1.clone()).or_insert(0) += take;
             *zones.entry((place.1.clone(), place.2)).or_insert(0) += room.cpus;
             bought.push((place, free));
@@ -475,5 +486,14 @@
     counts
 }
 
+/// A zone in which what is rented already has room for all tasks of a demand.
+fn zone_with_room(bought: &[(Place, Room)], demand: &Demand, allowed: &dyn Fn(&Place) -> bool) -> Option<String> {
+    let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+    for (place, free) in bought.iter().filter(|(place, _)| allowed(place)) {
+        *zones.entry(&place.1).or_default() += demand.need.times_in(free);
+    }
+    zones.into_iter().find(|(_, times)| *times >= u64::from(demand.count)).map(|(zone, _)| zone.to_string())
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -39,6 +39,7 @@
         types: None,
         zone: None,
         zone_cap: 2,
+        one_zone: false,
     }
 }
 
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -1,8 +1,9 @@
 //! What users ask for: validation of jobs, the job book, and the answers.
 
+use crate::gang::Gang;
 use crate::records::{FINALS_LIMIT, RANGES_LIMIT, Record};
 use crate::settings::Team;
-use crate::units::{Attempt, JobId, MachineId, Ranges, Room, Span, TaskId, Time, Wall};
+use crate::units::{JobId, MachineId, Ranges, Room, Span, TaskAttempt, TaskId, Time, Wall};
 use crate::wire::Flavor;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
@@ -14,8 +15,8 @@
 /// Most machine types that a job may name.
 const TYPES_LIMIT: usize = 64;
 
-/// When the user of a gang may come back, in seconds: as late as users do.
-const GANGS_AFTER: u16 = 30;
+/// When the user of a gang may come back, in seconds, while not all controllers are upgraded.
+const GANGS_AFTER: u16 = 5;
 
 /// A job as it was accepted; short names keep the durable log small.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -35,9 +36,9 @@
     /// 0 (`prod`) to 3 (`low`).
     #[serde(rename = "r")]
     pub rank: u8,
-    /// All tasks run at the same time or none does. Not kept: gangs are refused for now, and the version in production
-    /// would read such a job as one of independent tasks.
-    #[serde(skip)]
+    /// All tasks run at the same time or none does. The previous version would read such a job as one of independent tasks, so it is
+    /// accepted only under `Format::Two`.
+    #[serde(rename = "y", default, skip_serializing_if = "std::ops::Not::not")]
     pub gang: bool,
     /// Number of tasks.
     #[serde(rename = "n")]
@@ -226,8 +227,8 @@
     Room { cpus: milli(flavor.cpus), gpus: milli(flavor.gpus), memory: milli(flavor.memory_gb) }
 }
 
-/// Checks whether a job can ever run.
-pub fn can_ever_run(job: &JobRecord, teams: &[Team], flavors: Option<&[Flavor]>) -> Result<(), Refusal> {
+/// Checks whether a job can ever run; `gangs`: whether gangs are taken by now.
+pub fn can_ever_run(job: &JobRecord, teams: &[Team], flavors: Option<&[Flavor]>, gangs: bool) -> Result<(), Refusal> {
     let Some(team) = teams.iter().find(|t| t.name == job.team) else {
         return Err(Refusal::Never(format!("unknown team `{}`", job.team)));
     };
@@ -244,9 +245,9 @@
             && job.zone.as_ref().is_none_or(|zone| f.zones.contains(zone))
             && (!job.spread || job.tasks < 2 || (job.zone.is_none() && !job.together))
     });
-    match (fits, job.gang) {
+    match (fits, job.gang && !gangs) {
         (false, _) => Err(Refusal::Never("a task fits no allowed machine type".into())),
-        (true, true) => Err(Refusal::NotYet("gangs are not taken yet", GANGS_AFTER)),
+        (true, true) => Err(Refusal::NotYet("gangs are taken once all controllers are upgraded", GANGS_AFTER)),
         (true, false) => Ok(()),
     }
 }
@@ -256,8 +257,8 @@
 pub struct Placed {
     /// Machine.
     pub machine: MachineId,
-    /// Attempt.
-    pub attempt: Attempt,
+    /// The attempt.
+    pub key: TaskAttempt,
     /// Whether it is reported to run.
     pub running: bool,
 }
@@ -295,6 +296,8 @@
     pub not_before: Time,
     /// When planning looked for machines for it last.
     pub looked: Time,
+    /// Its life as a gang, if it is one.
+    pub gang: Option<Gang>,
 }
 
 impl Job {
@@ -306,8 +309,13 @@
     pub fn promoted(&self) -> bool {
         self.urgency != self.record.rank
     }
+    /// How many tasks run, as users see it: of a gang all or none.
     fn running(&self) -> usize {
-        self.placed.values().filter(|p| p.running).count()
+        let running = self.placed.values().filter(|p| p.running).count();
+        match &self.gang {
+            Some(gang) if !gang.runs() || running < self.record.tasks as usize => 0,
+            _ => running,
+        }
     }
 }
 
@@ -328,6 +336,8 @@
     /// Jobs with tasks that are on no machine, most important first; others may be among them until
     /// `settle_waiting`.
     waiting: BTreeSet<(u8, u64, JobId)>,
+    /// Gangs that are not over.
+    gangs: BTreeSet<JobId>,
 }
 
 /// What became of a durable fact.
@@ -372,6 +382,11 @@
         self.waiting.iter().filter_map(|(.., id)| self.live.get(id)).filter(|j| !j.pending.is_empty())
     }
 
+    /// Gangs that are not over.
+    pub fn gangs(&self) -> impl Iterator<Item = &Job> {
+        self.gangs.iter().filter_map(|id| self.live.get(id))
+    }
+
     /// Forgets as waiting what does not wait any more.
     pub fn settle_waiting(&mut self) {
         let live = &self.live;
@@ -418,8 +433,12 @@
             failures: 0,
             not_before: Time(0),
             looked: Time(0),
+            gang: record.gang.then(Gang::default),
             record: Rc::new(record),
         };
+        if job.gang.is_some() {
+            self.gangs.insert(job.record.id);
+        }
         self.live.insert(job.record.id, job);
     }
 
@@ -473,6 +492,7 @@
 
     fn end(&mut self, id: JobId, how: Final) -> Applied {
         let left = self.live.remove(&id).map(|job| job.placed.into_values().collect()).unwrap_or_default();
+        self.gangs.remove(&id);
         self.finals.insert(id, how);
         Applied::Over(id, left)
     }
--- a/src/intake/tests.rs
+++ b/src/intake/tests.rs
@@ -68,7 +68,7 @@
     let check = |change: &dyn Fn(&mut Value)| {
         let mut value = submission("job-000001");
         change(&mut value);
-        can_ever_run(&parse(&value).unwrap(), &teams, Some(&flavors))
+        can_ever_run(&parse(&value).unwrap(), &teams, Some(&flavors), false)
     };
     assert_eq!(check(&|_| {}), Ok(()));
     assert!(matches!(check(&|v| v["Crew"] = json!("nobody")), Err(Refusal::Never(_))));
@@ -86,21 +86,27 @@
     };
     assert!(matches!(check(&service), Err(Refusal::Never(_))), "a service needs all its tasks at once");
     let job = parse(&submission("job-000001")).unwrap();
-    assert!(matches!(can_ever_run(&job, &teams, None), Err(Refusal::NotYet(_, 1))));
+    assert!(matches!(can_ever_run(&job, &teams, None, true), Err(Refusal::NotYet(_, 1))));
 }
 
-/// Until gangs are run they are refused at once, with a time to come back; what is malformed, or can never run, is so now.
+/// While not all controllers are upgraded a gang is refused at once, with a time to come back; what is malformed, or can never run, is so
+/// before and after.
 #[test]
-fn a_gang_is_refused_for_now_and_an_impossible_one_for_good() {
+fn a_gang_is_refused_during_an_upgrade_and_an_impossible_one_for_good() {
     let teams = crate::settings::Settings::parse(crate::settings::tests::SAMPLE).unwrap().deployment.teams;
     let flavors = [flavor()];
-    let check = |change: &dyn Fn(&mut Value)| {
+    let check_at = |gangs: bool, change: &dyn Fn(&mut Value)| {
         let mut value = submission("job-000001");
         value["Shape"] = json!("group");
         change(&mut value);
-        can_ever_run(&parse(&value).unwrap(), &teams, Some(&flavors))
+        can_ever_run(&parse(&value).unwrap(), &teams, Some(&flavors), gangs)
+    };
+    assert!(matches!(check_at(false, &|_| {}), Err(Refusal::NotYet(_, GANGS_AFTER))));
+    assert_eq!(check_at(true, &|_| {}), Ok(()));
+    let check = |change: &dyn Fn(&mut Value)| {
+        assert_eq!(check_at(false, change), check_at(true, change));
+        check_at(true, change)
     };
-    assert!(matches!(check(&|_| {}), Err(Refusal::NotYet(_, 30))));
     let beyond = |v: &mut Value| {
         v["Crew"] = json!("small");
         v["Pieces"] = json!(3);
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -6,14 +6,12 @@
 
 use crate::store::{Reply, StateCall, condition};
 use crate::units::{LeaseId, Revision, Span, Time, Token};
+use crate::upgrade::Format;
 use crate::wire::{Change, KeyValue, LeaseAnswer, Txn, TxnAnswer};
 use log::info;
 use rand::{Rng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 
-/// The key that the leader holds.
-pub const LEADER_KEY: &str = "leader";
-
 /// What the leader's key says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holder {
@@ -23,13 +21,21 @@
     pub incarnation: u64,
 }
 
+/// What stands under a leader key that has moved. It has no lease, so that it stays for ever; a version that does not know it cannot
+/// read it as a `Holder`, looks again and again, and never campaigns while it is there.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Moved {
+    /// The key that leaders hold from now on.
+    moved_to: String,
+}
+
 /// What the slice wants done or made known.
 #[derive(Debug, PartialEq)]
 pub enum Event {
     /// Ask the state service; the number comes back with the reply.
     Call(u64, StateCall),
-    /// This node leads from now on.
-    Elected(Token),
+    /// This node leads from now on, holding the key of this format.
+    Elected(Token, Format),
     /// This node no longer leads.
     SteppedDown(&'static str),
     /// Another node leads, as far as is known; `None`: nobody.
@@ -42,6 +48,8 @@
     Grant,
     Campaign,
     Renew,
+    /// Moves the leader key to the next format's name.
+    Move,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -61,6 +69,10 @@
     in_flight: Option<InFlight>,
     next: Time,
     lease: Option<(LeaseId, Time)>,
+    /// Whose key leaders hold, as far as is known.
+    format: Format,
+    /// The key is to be moved after the next renewal.
+    moves: bool,
     /// The key's version to replace when campaigning; 0: the key must not exist.
     replace: u64,
     /// Set while an election without answer is settled: the key names us at this revision.
@@ -80,6 +92,8 @@
 /// Clocks differ by 0.05 %, and a process may be late; this much of the lease is not relied on.
 const MARGIN: Span = Span(200);
 const CALL_TIMEOUT: Span = Span(1000);
+/// Why a term ends when its leader moves the key.
+const MOVED: &str = "the leader key has moved: all controllers are upgraded";
 /// How long a node that made room leaves the key to the others.
 const ABSTAIN: Span = Span(10_000);
 
@@ -94,6 +108,8 @@
             in_flight: None,
             next: Time(0),
             lease: None,
+            format: Format::One,
+            moves: false,
             replace: 0,
             claimed: None,
             token: None,
@@ -116,6 +132,18 @@
         self.token.is_some() && now < self.valid_until
     }
 
+    /// The format whose leader key is in force, as far as is known.
+    pub fn format(&self) -> Format {
+        self.format
+    }
+
+    /// Moves the leader key, so that only nodes that read the new format can lead from then on.
+    ///
+    /// It is done right after a renewal, whose lease holds the new key. This node leads on, in a new term.
+    pub fn move_key(&mut self) {
+        self.moves = self.token.is_some() && self.format == Format::One;
+    }
+
     /// The leader's name as far as is known.
     pub fn leader(&self) -> Option<&str> {
         if self.token.is_some() { Some(&self.me.node) } else { self.known.as_deref() }
@@ -157,7 +185,7 @@
         if self.token.is_some() || self.claimed.is_some() {
             self.renew(now, out);
         } else {
-            self.call(now, Kind::Look, StateCall::Get(LEADER_KEY.into()), out);
+            self.call(now, Kind::Look, StateCall::Get(self.format.leader_key().into()), out);
         }
     }
 
@@ -180,7 +208,7 @@
 
     fn failed(&mut self, now: Time, kind: Kind) {
         // A renewal is urgent; everything else waits with jitter, so that nodes do not march in step.
-        let pause = if kind == Kind::Renew { Span(150) } else { self.pause(200, 500) };
+        let pause = if matches!(kind, Kind::Renew | Kind::Move) { Span(150) } else { self.pause(200, 500) };
         self.next = now + pause;
     }
 
@@ -189,11 +217,16 @@
         self.claimed = None;
         self.lease = None;
         self.in_flight = None;
+        self.end_term(why, out);
+        self.next = now + self.pause(50, 150);
+    }
+
+    fn end_term(&mut self, why: &'static str, out: &mut Vec<Event>) {
+        self.moves = false;
         if let Some(token) = self.token.take() {
             info!("stepped down token={token} reason=\"{why}\"");
             out.push(Event::SteppedDown(why));
         }
-        self.next = now + self.pause(50, 150);
     }
 
     /// Makes room for another node, which most likely reaches what this one does not: the lease is ended, so
@@ -250,17 +283,38 @@
                 self.valid_until = call.sent + Span(self.ttl.0.saturating_sub(MARGIN.0));
                 match self.claimed.take() {
                     Some(revision) => self.elected(now, revision, out),
+                    None if self.moves => self.send_move(now, out),
                     // Counted from the sending, so that slow answers don't leave a leader in doubt in between.
                     None => self.next = call.sent + Span(self.ttl.0 / 4),
                 }
             }
             (Kind::Renew, 404) => self.step_down(now, "lease lost", out),
+            (Kind::Move, 200) => match reply.parse::<TxnAnswer>() {
+                Some(answer) => {
+                    self.end_term(MOVED, out);
+                    self.format = Format::Two;
+                    self.elected(now, Revision(answer.revision), out);
+                }
+                None => self.failed(now, call.kind),
+            },
+            (Kind::Move, 409) => {
+                // Another node leads, or an earlier try was carried out and its answer lost. Reading the key tells; the lease is
+                // kept, since the moved key may hang on it.
+                self.end_term("the leader key has changed", out);
+                self.next = now;
+            }
+            (Kind::Move, 400) => self.step_down(now, "lease lost", out),
             _ => self.failed(now, call.kind),
         }
     }
 
     /// The key exists: it is ours, our predecessor's, or another node's.
     fn saw(&mut self, now: Time, kv: KeyValue, out: &mut Vec<Event>) {
+        if serde_json::from_value::<Moved>(kv.value.clone()).is_ok_and(|m| m.moved_to == Format::Two.leader_key()) {
+            self.format = Format::Two;
+            self.next = now;
+            return;
+        }
         let Ok(holder) = serde_json::from_value::<Holder>(kv.value) else {
             return self.failed(now, Kind::Look);
         };
@@ -305,25 +359,46 @@
             self.lease = None;
             return self.call(now, Kind::Grant, StateCall::Grant(self.ttl), out);
         };
+        let key = self.format.leader_key();
         let txn = Txn {
-            conditions: vec![condition(LEADER_KEY, Revision(replace))],
-            changes: vec![Change::Put {
-                key: LEADER_KEY.into(),
-                value: serde_json::to_value(&self.me).unwrap_or_default(),
-                lease: Some(lease.0),
-            }],
+            conditions: vec![condition(key, Revision(replace))],
+            changes: vec![self.holding(self.format, lease)],
         };
         self.call(now, Kind::Campaign, StateCall::Txn(txn), out);
     }
 
+    /// The change by which this node holds the leader key of a format.
+    fn holding(&self, format: Format, lease: LeaseId) -> Change {
+        Change::Put {
+            key: format.leader_key().into(),
+            value: serde_json::to_value(&self.me).unwrap_or_default(),
+            lease: Some(lease.0),
+        }
+    }
+
+    /// Moves the key on condition that this node still holds it and that nobody has moved it.
+    ///
+    /// Carried out late it changes nothing, or it is this node's own move: the conditions name this term's revision, and the new key
+    /// hangs on this term's lease.
+    fn send_move(&mut self, now: Time, out: &mut Vec<Event>) {
+        let (Some(token), Some((lease, _))) = (self.token, self.lease) else { return };
+        let (old, new) = (Format::One.leader_key(), Format::Two.leader_key());
+        let moved = serde_json::to_value(Moved { moved_to: new.into() }).unwrap_or_default();
+        let txn = Txn {
+            conditions: vec![condition(old, Revision(token.0)), condition(new, Revision(0))],
+            changes: vec![Change::Put { key: old.into(), value: moved, lease: None }, self.holding(Format::Two, lease)],
+        };
+        self.call(now, Kind::Move, StateCall::Txn(txn), out);
+    }
+
     fn elected(&mut self, now: Time, revision: Revision, out: &mut Vec<Event>) {
         let token = Token(revision.0);
         self.token = Some(token);
         self.claimed = None;
         self.known = None;
         self.next = now;
-        info!("elected node={} token={token}", self.me.node);
-        out.push(Event::Elected(token));
+        info!("elected node={} token={token} key={}", self.me.node, self.format.leader_key());
+        out.push(Event::Elected(token, self.format));
     }
 }
 
--- a/src/leadership/tests.rs
+++ b/src/leadership/tests.rs
@@ -41,14 +41,14 @@
     n.tick(Time(1100), &mut out); // no answer
     n.tick(Time(1700), &mut out);
     let (id, call) = only_call(&mut out);
-    assert_eq!(call, StateCall::Get(LEADER_KEY.into()));
+    assert_eq!(call, StateCall::Get(Format::One.leader_key().into()));
     let key = json!({"K": "leader", "V": {"node": "n0", "incarnation": 7}, "Stamp": 9, "Permit": 4});
     n.reply(Time(1705), id, &answer(200, key), &mut out);
     let (id, call) = only_call(&mut out);
     assert_eq!(call, StateCall::Renew(LeaseId(4)));
     assert_eq!(n.token(), None, "not before the lease is known to live");
     n.reply(Time(1710), id, &answer(200, json!({})), &mut out);
-    assert_eq!(out, [Event::Elected(Token(9))]);
+    assert_eq!(out, [Event::Elected(Token(9), Format::One)]);
     assert!(n.certain(Time(4000)) && !n.certain(Time(4010)));
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod arrivals;
 pub mod cli;
 pub mod controller;
 pub mod fleet;
+pub mod gang;
 pub mod intake;
 pub mod leadership;
 pub mod peers;
@@ -20,6 +22,7 @@
 pub mod store;
 pub mod term;
 pub mod units;
+pub mod upgrade;
 mod watching;
 pub mod wire;
 pub mod workers;
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -4,6 +4,8 @@
 //! priority. Like tasks of one job are one entry with a count, so that a controller with a tenth
 //! of a core can plan bursts.
 
+mod gangs;
+
 use crate::units::{JobId, MachineId, Room, Span, Time};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
@@ -50,6 +52,8 @@
     pub deadline: Time,
     /// Whether placement of the job's tasks depends on each other (`Spread`, `Together`).
     pub tied: bool,
+    /// Whether all tasks of the job start at the same time.
+    pub gang: bool,
 }
 
 /// A machine as the plan sees it.
@@ -436,7 +440,7 @@
             for _ in before..late {
                 let Some(at) = self.servers[&id].queue.iter().rposition(|e| e.job == job) else { break };
                 let entry = self.servers[&id].queue[at];
-                if entry.job == inserted || entry.tied || entry.endless {
+                if entry.job == inserted || entry.tied || entry.endless || entry.gang {
                     break;
                 }
                 let mut best: Option<((u32, Time), MachineId, Span)> = None;
--- /dev/null
+++ b/src/plan/gangs.rs
@@ -0,0 +1,140 @@
+//! Placing a gang: Algorithm 3 over all its machines at once.
+//!
+//! Where the paper asks one machine after the other what inserting one task would do, a gang is inserted into trial copies of queues
+//! until all its tasks have a machine, zone by zone where the job wants one zone. The trial that meets the deadline and pushes fewest
+//! tasks past theirs is taken, then the one whose common end is sooner; without a complete trial nothing is planned.
+
+use super::{
+    Entry, FINE, MachineId, Plans, Profile, QUEUE_LIMIT, Server, Span, Time, World, Zones, late_by_entry, outcome,
+    position,
+};
+use crate::units::JobId;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+/// One task of a gang on a machine, in a trial.
+#[derive(Debug, Clone, Copy)]
+struct Slot {
+    machine: MachineId,
+    /// Predicted time of the task on this machine.
+    run: Span,
+    /// Predicted end.
+    finish: Time,
+}
+
+/// A way to place all tasks of a gang.
+#[derive(Debug, Clone, Default)]
+struct Trial {
+    slots: Vec<Slot>,
+    misses_deadline: bool,
+    /// Tasks that are pushed past their deadline.
+    pushed: u32,
+    machines: usize,
+}
+
+impl Trial {
+    /// When all tasks are predicted to be over.
+    fn finish(&self) -> Time {
+        self.slots.iter().map(|s| s.finish).max().unwrap_or(Time::NEVER)
+    }
+
+    /// The paper's order of preference; smaller is better.
+    fn rating(&self) -> (bool, u32, u64, usize) {
+        (self.misses_deadline, self.pushed, self.finish().0 / FINE, self.machines)
+    }
+}
+
+/// What one more task of the gang would do to a machine, in the order in which machines are preferred: whether it misses its
+/// deadline, tasks pushed past theirs, its end, how many of the gang's tasks find no room there now, and the machine's bias.
+type SlotRating = (bool, u32, u64, u64, u64);
+
+impl Plans {
+    /// Plans all `count` tasks of a gang, or none; whether it did.
+    pub fn place_gang(&mut self, now: Time, task: Entry, count: u32, world: &dyn World) -> bool {
+        let Some(profile) = world.profile(task.job) else { return false };
+        let zones = world.zones(task.job, &BTreeMap::new());
+        let trials =
+            zone_choices(&zones).into_iter().filter_map(|zones| self.trial(now, &task, count, &profile, zones));
+        let Some(best) = trials.min_by_key(Trial::rating) else { return false };
+        let machines: BTreeSet<MachineId> = best.slots.iter().map(|s| s.machine).collect();
+        let late_before: Vec<(MachineId, Vec<(JobId, u32)>)> =
+            machines.iter().map(|id| (*id, late_by_entry(&self.servers[id], now))).collect();
+        for slot in &best.slots {
+            self.add(slot.machine, Entry { run: slot.run, count: 1, ..task });
+        }
+        if self.parts.resubmission {
+            for (id, late) in &late_before {
+                self.resubmit(now, *id, task.job, late, world);
+            }
+        }
+        true
+    }
+
+    /// Places all tasks of a gang in copies of the queues.
+    fn trial(&self, now: Time, task: &Entry, count: u32, profile: &Profile, mut zones: Zones) -> Option<Trial> {
+        let mut copies: BTreeMap<MachineId, Server> = BTreeMap::new();
+        let rate = |server: &Server, left: u32| -> Option<(SlotRating, Time)> {
+            let run = profile.predict(server)?;
+            let outcome = outcome(server, now, Entry { run, count: 1, ..*task })?;
+            let misses = outcome.finish > task.deadline;
+            let no_room = u64::from(left).saturating_sub(task.need.times_in(&server.free));
+            let pushed = if misses { 0 } else { outcome.pushed };
+            Some(((misses, pushed, outcome.finish.0 / FINE, no_room, server.bias.1), outcome.finish))
+        };
+        let mut best: BinaryHeap<Reverse<(SlotRating, MachineId, Time)>> = self
+            .servers
+            .values()
+            .filter(|server| zones.room(server.zone))
+            .filter_map(|server| rate(server, count).map(|(rating, finish)| Reverse((rating, server.id, finish))))
+            .collect();
+        let mut trial = Trial::default();
+        while (trial.slots.len() as u32) < count {
+            let Reverse(((misses, pushed, ..), id, finish)) = best.pop()?;
+            let Some(server) = copies.get(&id).or_else(|| self.servers.get(&id)) else { continue };
+            if !zones.room(server.zone) {
+                continue;
+            }
+            let Some(run) = profile.predict(server) else { continue };
+            zones.take(server.zone);
+            trial.misses_deadline |= misses;
+            trial.pushed += pushed;
+            trial.slots.push(Slot { machine: id, run, finish });
+            let copy = copies.entry(id).or_insert_with(|| self.servers[&id].clone());
+            let at = position(&copy.queue, task.order);
+            copy.queue.insert(at, Entry { run, count: 1, ..*task });
+            copy.waiting = (copy.waiting + 1).min(QUEUE_LIMIT);
+            let left = count - trial.slots.len() as u32;
+            best.extend(rate(copy, left).map(|(rating, finish)| Reverse((rating, id, finish))));
+        }
+        trial.machines = copies.len();
+        Some(trial)
+    }
+
+    /// Where a job's waiting tasks are planned, and how many on each machine.
+    pub fn planned_at(&self, job: JobId) -> Vec<(MachineId, u32)> {
+        self.planned.get(&job).map(|w| w.at.iter().map(|(id, n)| (*id, *n)).collect()).unwrap_or_default()
+    }
+
+    /// When all planned tasks of a job are predicted to have room at once; `None` if some never have.
+    pub fn common_start(&self, job: JobId, now: Time) -> Option<Time> {
+        let mut latest = now;
+        for (id, _) in self.planned_at(job) {
+            for (_, start) in self.starts(id, now).into_iter().filter(|(entry, _)| entry.job == job) {
+                latest = latest.max(start?);
+            }
+        }
+        Some(latest)
+    }
+}
+
+/// The zones in which a gang may be tried: each alone if all tasks must be in the same one.
+fn zone_choices(zones: &Zones) -> Vec<Zones> {
+    if !zones.together {
+        return vec![zones.clone()];
+    }
+    let only = |zone: usize| Zones {
+        left: zones.left.iter().enumerate().map(|(z, left)| if z == zone { *left } else { 0 }).collect(),
+        together: true,
+    };
+    (0..zones.left.len()).filter(|zone| zones.left[*zone] > 0).map(only).collect()
+}
--- a/src/plan/tests.rs
+++ b/src/plan/tests.rs
@@ -35,6 +35,7 @@
         endless: false,
         deadline: Time(deadline * COARSE),
         tied: false,
+        gang: false,
     }
 }
 
--- a/src/records.rs
+++ b/src/records.rs
@@ -5,9 +5,9 @@
 //! not exist. One commit is in flight; a repeat or a late copy changes nothing.
 
 use crate::intake::JobRecord;
-use crate::leadership::LEADER_KEY;
 use crate::store::{Reply, StateCall, condition};
 use crate::units::{EntryNo, JobId, MachineId, Ranges, Revision, Span, TaskId, Time, Token, Wall};
+use crate::upgrade::Format;
 use crate::wire::{Change, KeyPage, KeyValue, Txn, TxnAnswer};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -129,6 +129,8 @@
 #[derive(Debug)]
 pub struct Records {
     token: Token,
+    /// What may be written, and which leader key every write is conditional on.
+    format: Format,
     value_bytes: usize,
     txn_ops: usize,
     commit_every: Span,
@@ -185,12 +187,14 @@
     /// Begins to read back what earlier leaders wrote.
     pub fn new(
         token: Token,
+        format: Format,
         now: Time,
         limits: &crate::settings::StateLimits,
         tuning: &crate::settings::Tuning,
     ) -> Records {
         Records {
             token,
+            format,
             // Sized for the smaller of both, since the limits may be lowered at any moment: a commit that is too large would
             // be rejected each time it is repeated.
             value_bytes: ((limits.value_kb_always() * 1024.0) as usize).saturating_sub(64).min(TXN_BYTES - OVERHEAD),
@@ -338,7 +342,7 @@
     }
 
     fn txn(&self, changes: Vec<Change>) -> Txn {
-        Txn { conditions: vec![condition(LEADER_KEY, Revision(self.token.0))], changes }
+        Txn { conditions: vec![condition(self.format.leader_key(), Revision(self.token.0))], changes }
     }
 
     /// Writes what waits: as many entries in one transaction as it may hold, each as full as a value may be.
@@ -410,7 +414,7 @@
                 if self.in_flight.remove(at).writes_manifest() {
                     self.stamp = None;
                 }
-                if failed.iter().any(|k| k == LEADER_KEY) || failed.is_empty() {
+                if failed.iter().any(|k| k == self.format.leader_key()) || failed.is_empty() {
                     out.push(Event::Deposed);
                 } else {
                     // Only this node writes under its token, so the entry or manifest is our own earlier
--- a/src/renting.rs
+++ b/src/renting.rs
@@ -1,9 +1,10 @@
 //! Where plan and fleet meet: what is rented for what waits, and what is emptied and given back.
 
+use crate::arrivals::ClassArrivals;
 use crate::controller::Effect;
 use crate::fleet::{self, Demand, Place};
-use crate::intake::{self, Job};
-use crate::plan::Order;
+use crate::intake::{self, Job, JobRecord};
+use crate::plan::{Order, Server};
 use crate::scheduling::order_of;
 use crate::settings::Objective;
 use crate::term::Term;
@@ -22,9 +23,49 @@
 /// Why a machine is drained whose services were moved to others.
 const CONSOLIDATED: &str = "its services fit elsewhere";
 
+/// From a job's coming until a machine for it is asked for, and from its boot until it can be used.
+const COMMIT_AND_RENT: Span = Span(5000);
+/// Share of the tasks expected within a boot for which room is kept ahead; the others find that of jobs that end.
+const CLASS_ROOM_SHARE: f64 = 0.5;
+/// Room is kept for so many of the largest jobs of a class, whatever is expected.
+const LARGEST_JOBS: u64 = 2;
+
+/// Room of a machine that is not promised to anything yet.
+struct FreeRoom {
+    machine: MachineId,
+    free: Room,
+    /// Room of tasks that services may push aside.
+    soft: Room,
+}
+
+impl FreeRoom {
+    /// Takes free room for tasks, so many at the most; how many fit.
+    fn take(&mut self, need: &Room, most: u64) -> u64 {
+        let count = need.times_in(&self.free).min(most);
+        for _ in 0..count {
+            self.free.sub(need);
+        }
+        count
+    }
+
+    /// The same with the room of tasks that may be pushed aside, which goes first.
+    fn take_with_soft(&mut self, need: &Room, most: u64) -> u64 {
+        let mut all = self.free;
+        all.add(&self.soft);
+        let count = need.times_in(&all).min(most);
+        for _ in 0..count {
+            let mut from_free = *need;
+            from_free.sub(&self.soft);
+            self.soft.sub(need);
+            self.free.sub(&from_free);
+        }
+        count
+    }
+}
+
 impl Term {
     /// What waits too long on the machines that there are, as classes.
-    fn demands(&self, now: Time) -> Vec<Demand> {
+    fn demands(&mut self, now: Time) -> Vec<Demand> {
         let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(f64::MAX, f64::min);
         let boot = Span::secs(if boots == f64::MAX { 30.0 } else { boots });
         // Apart are those for which ordinary machines are rented too.
@@ -60,7 +101,7 @@
             }
         }
         let headroom = self.headroom(now, boot);
-        counts
+        let demands = counts
             .into_iter()
             .filter_map(|((_, id, long), count)| {
                 let job = self.book.get(id)?;
@@ -79,13 +120,21 @@
                     spot: job.record.spot,
                     ordinary: long || !job.record.spot,
                     types: job.record.types.clone(),
-                    zone: job.record.zone.clone(),
+                    zone: job.record.zone.clone().or_else(|| self.planned_zone(job)),
                     zone_cap: job.record.zone_cap(),
+                    one_zone: job.gang.is_some() && job.record.together,
                 })
             })
             .chain(headroom)
-            .filter(|d| d.count > 0)
-            .collect()
+            .filter(|d| d.count > 0);
+        demands.collect()
+    }
+
+    /// The zone in which a gang that wants one zone is planned.
+    fn planned_zone(&self, job: &Job) -> Option<String> {
+        let together = job.gang.is_some() && job.record.together;
+        let (machine, _) = self.plans.planned_at(job.record.id).into_iter().next().filter(|_| together)?;
+        self.names.zone_name(self.plans.server(machine)?.zone).map(str::to_string)
     }
 
     /// How many tasks of services are likely to come within a boot, and a job like them.
@@ -115,29 +164,95 @@
         Some((job, ((rate * (boot_s + 10.0) * self.settings.tuning.room_ahead).ceil() as u64).max(3)))
     }
 
-    /// Ordinary machines for services that are likely to come before a machine rented for them
-    /// would be up: without room, even that of lower tasks, they would wait for the boot.
-    fn headroom(&self, now: Time, boot: Span) -> Option<Demand> {
+    /// Ordinary machines for what is likely to come before a machine rented for it would be up and must not wait so long: services,
+    /// and jobs whose class has an aim at starting. Notes the machines whose room is kept for the latter.
+    fn headroom(&mut self, now: Time, boot: Span) -> Vec<Demand> {
+        let mut rooms = self.free_rooms();
+        let mut demands: Vec<Demand> = self.service_headroom(now, boot, &mut rooms).into_iter().collect();
+        let mut kept = BTreeSet::new();
+        for (_, class) in self.arrivals.classes().filter(|(name, class)| self.must_start_at_once(name, class.largest()))
+        {
+            demands.extend(self.class_headroom(now, boot, class, &mut rooms, &mut kept));
+        }
+        self.headroom = kept;
+        demands
+    }
+
+    /// Free room of machines, the fullest first, so that others become idle.
+    fn free_rooms(&self) -> Vec<FreeRoom> {
+        let room = |s: &Server| FreeRoom { machine: s.id, free: s.free, soft: s.soft };
+        let mut rooms: Vec<FreeRoom> = self.plans.servers().map(room).collect();
+        rooms.sort_by_key(|room| (room.free.cpus, room.machine));
+        rooms
+    }
+
+    /// Without room, even that of lower tasks, services would wait for the boot.
+    fn service_headroom(&self, now: Time, boot: Span, rooms: &mut [FreeRoom]) -> Option<Demand> {
         let (job, wanted) = self.expected_services(boot.as_secs())?;
+        let wanted = wanted + self.stranded(now) + self.held_back(now);
         let profile = self.parts().profile_of(job);
-        let mut there = 0;
-        for server in self.plans.servers() {
-            if profile.predict(server).is_some() {
-                let mut room = server.free;
-                room.add(&server.soft);
-                there += job.record.need.times_in(&room);
+        let need = job.record.need;
+        let mut missing = wanted;
+        for room in rooms.iter_mut() {
+            if missing > 0 && self.plans.server(room.machine).is_some_and(|s| profile.predict(s).is_some()) {
+                missing -= room.take_with_soft(&need, missing);
             }
         }
-        let wanted = wanted + self.stranded(now) + self.held_back(now);
         Some(Demand {
             job: job.record.id,
-            need: job.record.need,
-            count: wanted.saturating_sub(there) as u32,
+            need,
+            count: missing as u32,
             spot: false,
             ordinary: true,
             types: None,
             zone: None,
             zone_cap: u32::MAX,
+            one_zone: false,
+        })
+    }
+
+    /// Whether jobs of a class are to start sooner than a machine boots, by the settings' aims. Services have a rule of their own.
+    fn must_start_at_once(&self, class: &str, record: &JobRecord) -> bool {
+        let mut aims = self.settings.deployment.objectives.iter();
+        !record.service && aims.any(|o| o.kind == "wait" && o.class == class)
+    }
+
+    /// Room for jobs of a class that are likely to come within a boot: what ends meanwhile makes room for half of them, but the
+    /// largest one must find room at any time.
+    fn class_headroom(
+        &self,
+        now: Time,
+        boot: Span,
+        class: &ClassArrivals,
+        rooms: &mut [FreeRoom],
+        kept: &mut BTreeSet<MachineId>,
+    ) -> Option<Demand> {
+        let record = class.largest();
+        let expected = class.expected_tasks(now, boot + COMMIT_AND_RENT);
+        if expected <= 0.0 {
+            return None;
+        }
+        let wanted = ((expected * CLASS_ROOM_SHARE).ceil() as u64).max(LARGEST_JOBS * u64::from(record.tasks));
+        let profile = self.parts().profile_for(record, Vec::new());
+        let mut missing = wanted;
+        for room in rooms.iter_mut() {
+            let fits = self.plans.server(room.machine).is_some_and(|s| profile.predict(s).is_some());
+            let taken = if fits { room.take(&record.need, missing) } else { 0 };
+            if taken > 0 {
+                kept.insert(room.machine);
+                missing -= taken;
+            }
+        }
+        Some(Demand {
+            job: record.id,
+            need: record.need,
+            count: missing as u32,
+            spot: false,
+            ordinary: true,
+            types: record.types.clone(),
+            zone: record.zone.clone(),
+            zone_cap: record.zone_cap(),
+            one_zone: record.together,
         })
     }
 
@@ -419,7 +534,8 @@
             }
             let since = *m.idle_since.get_or_insert(now);
             let keep = if m.record.spot { self.settings.tuning.idle_spot } else { self.settings.tuning.idle_ordinary };
-            if now.since(since) >= keep && now.since(m.since) >= MINIMUM_CHARGE {
+            let spare = m.record.spot || !self.headroom.contains(id);
+            if spare && now.since(since) >= keep && now.since(m.since) >= MINIMUM_CHARGE {
                 idle.push(*id);
             }
         }
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -5,11 +5,12 @@
 use crate::intake::{self, Job};
 use crate::plan::{self, Entry, Order, Profile, Server, World, Zones};
 use crate::term::Term;
-use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskId, Time, Wall};
+use crate::units::{JobId, MachineId, Room, Span, TaskAttempt, TaskId, Time, Wall};
 use crate::workers::{Doubt, Hold, Machine, Phase};
 use log::{debug, info};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+mod gangs;
 mod limits;
 mod room;
 mod starts;
@@ -60,26 +61,36 @@
 
     /// Run-time estimate plus uncached image fetch, scaled by CorrecFAST, by type of machine.
     pub(crate) fn profile_of(&self, job: &Job) -> Profile {
+        let mut avoid = job.failed_on.clone();
+        if let Some(gang) = &job.gang {
+            let knows = |id: &&MachineId| self.machines.get(id).is_some_and(|m| m.knows_job(job.record.id));
+            avoid.extend(gang.former.iter().filter(knows));
+        }
+        self.profile_for(&job.record, avoid)
+    }
+
+    /// The same for any job like this one.
+    pub(crate) fn profile_for(&self, record: &intake::JobRecord, avoid: Vec<MachineId>) -> Profile {
         let kinds = self.names.kinds.iter().map(|kind| {
             let flavor = self.fleet.flavor(kind)?;
-            let named = job.record.types.as_ref().is_none_or(|types| types.contains(kind));
-            if !named || !job.record.need.fits(&intake::capacity(flavor)) {
+            let named = record.types.as_ref().is_none_or(|types| types.contains(kind));
+            if !named || !record.need.fits(&intake::capacity(flavor)) {
                 return None;
             }
             let fetch = if flavor.fetch_gb_per_s > 0.0 {
-                Span((job.record.image_mb as f64 / flavor.fetch_gb_per_s) as u64)
+                Span((record.image_mb as f64 / flavor.fetch_gb_per_s) as u64)
             } else {
                 Span(0)
             };
-            let estimate = job.record.estimate;
+            let estimate = record.estimate;
             Some((self.correction.predict(estimate), self.correction.predict(estimate + fetch)))
         });
         Profile {
             kinds: kinds.collect(),
-            zone: job.record.zone.as_ref().map(|z| self.names.zone(z).unwrap_or(usize::MAX)),
-            spot: job.record.spot,
-            avoid: job.failed_on.clone(),
-            image: self.names.image(&job.record.image),
+            zone: record.zone.as_ref().map(|z| self.names.zone(z).unwrap_or(usize::MAX)),
+            spot: record.spot,
+            avoid,
+            image: self.names.image(&record.image),
         }
     }
 }
@@ -126,6 +137,10 @@
         self.zones.iter().position(|z| z == name)
     }
 
+    pub(crate) fn zone_name(&self, index: usize) -> Option<&str> {
+        self.zones.get(index).map(String::as_str)
+    }
+
     /// An image that no machine has is none of those that machines have.
     fn image(&self, name: &str) -> plan::Image {
         self.images.get(name).copied().unwrap_or(plan::Image::MAX)
@@ -162,6 +177,7 @@
         endless: job.record.service,
         deadline: job.deadline(),
         tied: job.record.together || job.record.spread,
+        gang: job.gang.is_some(),
     }
 }
 
@@ -179,7 +195,9 @@
 /// Whether a task may be stopped to make room for one of this rank: it must be of a lower one, end by
 /// itself, and not be stopping already.
 fn pushable(hold: &Hold, rank: u8) -> bool {
-    hold.claimed && hold.occupies() && hold.stop.is_none() && hold.rank > rank && hold.predicted.is_some()
+    let running = hold.claimed && hold.occupies() && hold.stop.is_none();
+    // Stopping one task of a gang loses the work of all.
+    running && hold.rank > rank && hold.predicted.is_some() && !hold.gang
 }
 
 impl Term {
@@ -228,11 +246,13 @@
     fn schedule(&mut self, now: Time, look: bool) {
         self.refresh(now);
         self.drain_noticed(now);
+        self.tend_gangs(now);
         let everything = look || self.limited();
         if everything {
             self.promote_forsaken(now);
             let ids: Vec<MachineId> = self.plans.servers().filter(|s| !s.queue.is_empty()).map(|s| s.id).collect();
             self.plans.release_stuck(now, ids.into_iter());
+            self.unplan_gangs();
         }
         let mut used = self.team_use();
         self.plan_waiting(now, &used);
@@ -382,7 +402,11 @@
             .filter_map(|j| {
                 let left = j.pending.len().saturating_sub(self.plans.planned(j.record.id));
                 // Of a promoted job one task goes first; the others follow at their own rank.
-                let left = if j.promoted() { left.min(1 - self.plans.planned(j.record.id).min(1)) } else { left };
+                let left = if j.promoted() && j.gang.is_none() {
+                    left.min(1 - self.plans.planned(j.record.id).min(1))
+                } else {
+                    left
+                };
                 (left > 0).then_some((j.record.id, left))
             })
             .collect();
@@ -424,6 +448,10 @@
             }
             *looks += servers;
             let entry = entry_of(job);
+            if entry.gang {
+                self.plan_gang(now, entry);
+                continue;
+            }
             let want = (*left).min(BATCH);
             let mut plans = std::mem::take(&mut self.plans);
             let parts = self.parts();
--- /dev/null
+++ b/src/scheduling/gangs.rs
@@ -0,0 +1,198 @@
+//! Gangs: planned, started, completed and stopped as a whole.
+
+use super::*;
+use crate::gang;
+
+/// How long the tasks of a gang wait for one that was lost before all are stopped and tried again.
+const REPLACE_WITHIN: Span = Span(5000);
+/// Share of `gang_wait_s` after which a gang that is not complete is stopped: its workers would give up at the end of it.
+const GATHER_SHARE: f64 = 0.6;
+
+/// What a gang needs done.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Act {
+    Nothing,
+    /// A lost task is to be started again under the same attempt.
+    Replace,
+    /// All tasks are to be stopped at once.
+    Stop,
+    /// The attempt is gone.
+    Requeue,
+}
+
+impl Term {
+    /// Plans a gang as a whole.
+    pub(super) fn plan_gang(&mut self, now: Time, entry: Entry) {
+        let Some(job) = self.book.get(entry.job) else { return };
+        let tasks = job.record.tasks;
+        // Part of it may have lost its machine since it was planned.
+        self.plans.remove_job(entry.job);
+        let mut plans = std::mem::take(&mut self.plans);
+        plans.place_gang(now, entry, tasks, &self.parts());
+        self.plans = plans;
+    }
+
+    /// Takes gangs that wait out of the plan, so that they are placed anew by what is known now.
+    pub(super) fn unplan_gangs(&mut self) {
+        let waiting: Vec<JobId> =
+            self.book.gangs().filter(|j| self.plans.planned(j.record.id) > 0).map(|j| j.record.id).collect();
+        for job in waiting {
+            self.plans.remove_job(job);
+        }
+    }
+
+    /// Whether all tasks of a gang have room now where they are planned.
+    pub(super) fn gang_may_start(&self, job: &Job, now: Time, used: &HashMap<String, Room>) -> bool {
+        let tasks = job.record.tasks;
+        if self.plans.planned(job.record.id) != tasks
+            || !self.startable(job, now)
+            || !self.within_limit(used, job, u64::from(tasks))
+        {
+            return false;
+        }
+        let parts = self.parts();
+        self.plans.planned_at(job.record.id).into_iter().all(|(id, count)| {
+            let Some(machine) = self.machines.get(&id).filter(|m| m.usable()) else { return false };
+            parts.allowed(job, id)
+                && !machine.knows_job(job.record.id)
+                && job.record.need.times_in(&machine.free()) >= u64::from(count)
+        })
+    }
+
+    /// Starts all tasks of a gang where they are planned, under one attempt.
+    pub(super) fn start_gang(&mut self, now: Time, id: JobId, used: &mut HashMap<String, Room>) {
+        let slots = self.plans.planned_at(id);
+        let Some(job) = self.book.get(id) else { return };
+        let profile = self.parts().profile_of(job);
+        let predicted = |machine: &MachineId| self.plans.server(*machine).and_then(|s| profile.predict(s));
+        // It runs at the speed of its slowest machine.
+        let predicted = slots.iter().filter_map(|(machine, _)| predicted(machine)).max();
+        let machines: Vec<MachineId> =
+            slots.iter().flat_map(|(machine, count)| (0..*count).map(move |_| *machine)).collect();
+        let (promoted, rank) = (job.promoted(), job.record.rank);
+        let attempt = self.next_attempt();
+        self.plans.remove_job(id);
+        if let Some(gang) = self.book.get_mut(id).and_then(|job| job.gang.as_mut()) {
+            gang.start(now, attempt, machines.iter().copied());
+        }
+        for (index, machine) in (0..).zip(machines) {
+            let key = TaskAttempt { attempt, task: TaskId { job: id, index } };
+            self.start_attempt(now, machine, key, predicted, used);
+        }
+        if promoted {
+            self.book.promote(id, rank);
+        }
+    }
+
+    /// Does for each gang what its state asks for.
+    pub(super) fn tend_gangs(&mut self, now: Time) {
+        let gather_limit = self.settings.deployment.workers.gang_wait().times(GATHER_SHARE);
+        let acts: Vec<(JobId, Act)> = self
+            .book
+            .gangs()
+            .map(|job| (job.record.id, self.gang_act(job, now, gather_limit)))
+            .filter(|(_, act)| *act != Act::Nothing)
+            .collect();
+        for (id, act) in acts {
+            match act {
+                Act::Nothing => {}
+                Act::Replace => self.replace_lost(now, id),
+                Act::Stop => self.stop_gang(id, Span(0)),
+                Act::Requeue => self.requeue_gang(id),
+            }
+        }
+    }
+
+    fn gang_act(&self, job: &Job, now: Time, gather_limit: Span) -> Act {
+        let Some(gang) = &job.gang else { return Act::Nothing };
+        if job.cancelling || job.done.len() == job.record.tasks {
+            return Act::Nothing;
+        }
+        // Tasks on machines of an earlier leader may still be shown.
+        let known = self.open() || job.ours;
+        let complete = job.placed.len() as u32 == job.record.tasks;
+        match gang.phase {
+            gang::Phase::Queued => Act::Nothing,
+            _ if job.placed.is_empty() => {
+                if known {
+                    Act::Requeue
+                } else {
+                    Act::Nothing
+                }
+            }
+            gang::Phase::Stopping { .. } => Act::Stop,
+            gang::Phase::Running => {
+                if complete || !known {
+                    Act::Nothing
+                } else {
+                    Act::Stop
+                }
+            }
+            gang::Phase::Gathering { since } => {
+                let overdue = gang.missing_since.is_some_and(|at| now.since(at) >= REPLACE_WITHIN);
+                if now.since(since) >= gather_limit || (overdue && known) {
+                    Act::Stop
+                } else if !complete && known {
+                    Act::Replace
+                } else {
+                    Act::Nothing
+                }
+            }
+        }
+    }
+
+    /// Starts the tasks of a gathering gang that were lost with their machines again, under the attempt of the others.
+    fn replace_lost(&mut self, now: Time, id: JobId) {
+        let used = self.team_use();
+        let Some(job) = self.book.get_mut(id) else { return };
+        let Some(gang) = &mut job.gang else { return };
+        gang.missing_since.get_or_insert(now);
+        let Some(attempt) = gang.attempt else { return };
+        let Some(index) = job.pending.first() else { return };
+        let Some(job) = self.book.get(id) else { return };
+        if !self.within_limit(&used, job, 1) {
+            return;
+        }
+        let task = TaskId { job: id, index };
+        let overdue = self.settings.deployment.workers.overdue();
+        let fits =
+            |m: &&Machine| m.usable() && m.in_reach(now, overdue) && !m.knows(task) && self.may_be_placed(job, m);
+        let image = &job.record.image;
+        let best = self.machines.values().filter(fits).min_by_key(|m| (!m.images.contains(image), m.free().cpus));
+        let Some(machine) = best.map(Machine::id) else { return };
+        info!("replacing {task} attempt={attempt} machine={machine}");
+        let predicted = Some(self.correction.predict(job.record.estimate));
+        if let Some(gang) = self.book.get_mut(id).and_then(|job| job.gang.as_mut()) {
+            gang.former.insert(machine);
+        }
+        self.start_attempt(now, machine, TaskAttempt { attempt, task }, predicted, &mut used.clone());
+    }
+
+    /// Stops all tasks of a gang with the same time for saving; what is told to stop already is left to do so.
+    pub(super) fn stop_gang(&mut self, id: JobId, grace: Span) {
+        let Some(job) = self.book.get_mut(id) else { return };
+        let Some(gang) = &mut job.gang else { return };
+        gang.stop(grace);
+        let gang::Phase::Stopping { grace } = gang.phase else { return };
+        let placed: Vec<intake::Placed> = job.placed.values().copied().collect();
+        for placed in placed {
+            let hold = self.machines.get(&placed.machine).and_then(|m| m.holds.get(&placed.key));
+            if hold.is_some_and(|hold| hold.stop.is_none()) {
+                self.stop(placed.machine, placed.key, grace.as_secs());
+            }
+        }
+    }
+
+    /// Nothing of the attempt is left: the gang waits as a whole again.
+    fn requeue_gang(&mut self, id: JobId) {
+        let Some(job) = self.book.get_mut(id) else { return };
+        if let Some(gang) = &mut job.gang {
+            gang.emptied();
+        }
+        let tasks = job.record.tasks;
+        for index in 0..tasks {
+            self.book.waits_again(TaskId { job: id, index });
+        }
+        self.dirty = true;
+    }
+}
--- a/src/scheduling/limits.rs
+++ b/src/scheduling/limits.rs
@@ -44,7 +44,12 @@
 
     /// Whether tasks of this job may be started at all now.
     pub(crate) fn startable(&self, job: &Job, now: Time) -> bool {
-        job.durable && !job.cancelling && !job.pending.is_empty() && job.not_before <= now && (self.open() || job.ours)
+        job.durable
+            && !job.cancelling
+            && !job.pending.is_empty()
+            && job.not_before <= now
+            && (self.open() || job.ours)
+            && job.gang.as_ref().is_none_or(|gang| gang.is_queued())
     }
 
     /// Whether this job's team has a limit.
--- a/src/scheduling/starts.rs
+++ b/src/scheduling/starts.rs
@@ -5,9 +5,12 @@
 impl Term {
     /// Whether a task of this job may start on this machine at this moment.
     pub(super) fn may_start(&self, job: &Job, machine: &Machine, now: Time, used: &HashMap<String, Room>) -> bool {
-        if !machine.usable() || !self.startable(job, now) || !self.within_limit(used, job, 1) {
-            return false;
-        }
+        let startable = job.gang.is_none() && self.startable(job, now);
+        machine.usable() && startable && self.within_limit(used, job, 1) && self.may_be_placed(job, machine)
+    }
+
+    /// Whether one more task of this job may be on this machine, given its room and the job's other tasks.
+    pub(super) fn may_be_placed(&self, job: &Job, machine: &Machine) -> bool {
         let parts = self.parts();
         if !parts.allowed(job, machine.id()) || !job.record.need.fits(&machine.free()) {
             return false;
@@ -27,12 +30,24 @@
     pub(super) fn start_planned(&mut self, now: Time, ids: &[MachineId], used: &mut HashMap<String, Room>) {
         for id in ids.iter().copied() {
             let mut at = 0;
+            let mut kept = Reservation::default();
             while let Some(entry) = self.plans.server(id).and_then(|s| s.queue.get(at)).copied() {
                 let (Some(machine), Some(job)) = (self.machines.get(&id), self.book.get(entry.job)) else { break };
                 if !machine.usable() {
                     break;
                 }
-                if self.may_start(job, machine, now, used) {
+                if entry.gang {
+                    if self.gang_may_start(job, now, used) {
+                        self.start_gang(now, entry.job, used);
+                    } else {
+                        kept.add(&entry, self.plans.common_start(entry.job, now));
+                        at += 1;
+                    }
+                    continue;
+                }
+                if !kept.leaves_room(&entry, &machine.free(), now) {
+                    at += 1;
+                } else if self.may_start(job, machine, now, used) {
                     self.plans.take(id, at);
                     self.start_task(now, id, entry, used);
                 } else if entry.need.fits(&machine.free()) || entry.endless {
@@ -47,22 +62,39 @@
 
     pub(super) fn start_task(&mut self, now: Time, id: MachineId, entry: Entry, used: &mut HashMap<String, Room>) {
         let attempt = self.next_attempt();
-        let Some(job) = self.book.get_mut(entry.job) else { return };
+        let Some(job) = self.book.get(entry.job) else { return };
+        let Some(machine) = self.machines.get(&id) else { return };
+        let known = |index: &u32| machine.knows(TaskId { job: entry.job, index: *index });
+        let Some(index) = job.pending.iter().take(64).find(|index| !known(index)) else { return };
+        let key = TaskAttempt { attempt, task: TaskId { job: entry.job, index } };
+        self.start_attempt(now, id, key, (!entry.endless).then_some(entry.run), used);
+        let Some(job) = self.book.get(entry.job) else { return };
+        let (promoted, rank) = (job.promoted(), job.record.rank);
+        if promoted {
+            self.book.promote(entry.job, rank);
+        }
+    }
+
+    /// Orders an attempt at a task that is on no machine to start on this one.
+    pub(super) fn start_attempt(
+        &mut self,
+        now: Time,
+        id: MachineId,
+        key: TaskAttempt,
+        predicted: Option<Span>,
+        used: &mut HashMap<String, Room>,
+    ) {
+        let Some(job) = self.book.get_mut(key.task.job) else { return };
         let Some(machine) = self.machines.get_mut(&id) else { return };
-        let Some(index) = job.pending.iter().take(64).find(|i| !machine.knows(TaskId { job: entry.job, index: *i }))
-        else {
-            return;
-        };
-        job.pending.remove(index);
-        job.placed.insert(index, intake::Placed { machine: id, attempt, running: false });
-        let task = TaskId { job: entry.job, index };
-        debug!("start {task} attempt={attempt} machine={id} predicted={}s", entry.run.as_secs());
-        used.entry(job.record.team.clone()).or_default().add(&entry.need);
+        job.pending.remove(key.task.index);
+        job.placed.insert(key.task.index, intake::Placed { machine: id, key, running: false });
+        debug!("start {key} machine={id} predicted={:?}s", predicted.map(Span::as_secs));
+        used.entry(job.record.team.clone()).or_default().add(&job.record.need);
         machine.idle_since = None;
         machine.holds.insert(
-            attempt,
+            key,
             Hold {
-                task,
+                task: key.task,
                 phase: Phase::Ordered,
                 seen: false,
                 doubt: Doubt::None,
@@ -73,19 +105,16 @@
                 ended: now,
                 reapable: false,
                 claimed: true,
-                need: entry.need,
+                need: job.record.need,
                 rank: job.record.rank,
                 image: job.record.image.clone(),
                 since: now,
                 running_since: None,
-                predicted: (!entry.endless).then_some(entry.run),
+                predicted,
+                gang: job.gang.is_some(),
             },
         );
-        let (promoted, rank) = (job.promoted(), job.record.rank);
         self.plans.set_free(id, machine.free());
-        if promoted {
-            self.book.promote(entry.job, rank);
-        }
         self.wanting.insert(id);
         self.changed.insert(id);
         self.dirty = true;
@@ -121,3 +150,31 @@
         }
     }
 }
+
+/// Room of a machine that is kept for gangs that are ahead in its queue and wait for room elsewhere.
+#[derive(Debug, Default)]
+struct Reservation {
+    room: Room,
+    /// When the first of them is predicted to need it.
+    from: Option<Time>,
+}
+
+impl Reservation {
+    /// Keeps room for a gang's tasks from its common start on; nothing for one that is not known to start.
+    fn add(&mut self, entry: &Entry, start: Option<Time>) {
+        let Some(start) = start else { return };
+        for _ in 0..entry.count {
+            self.room.add(&entry.need);
+        }
+        self.from = Some(self.from.map_or(start, |from| from.min(start)));
+    }
+
+    /// Whether a task that is behind them in the queue may start now: beside what is kept, or because it is predicted to be over
+    /// before that is needed. So kept room does not lie idle while a gang waits long, and no gang is starved by short tasks.
+    fn leaves_room(&self, entry: &Entry, free: &Room, now: Time) -> bool {
+        let Some(from) = self.from else { return true };
+        let mut left = *free;
+        left.sub(&self.room);
+        entry.need.fits(&left) || (!entry.endless && now + entry.run <= from)
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -145,6 +145,12 @@
     pub lease_s: f64,
     /// Time until a cancelled job's tasks must be gone.
     pub cancel_s: f64,
+    /// Time after which a task gives up waiting for the other tasks of its gang.
+    #[serde(default = "default_gang_wait")]
+    pub gang_wait_s: f64,
+    /// Time within which tasks of a gang notice that another is gone, and within which all must be told to stop.
+    #[serde(default = "default_gang_peer")]
+    pub gang_peer_s: f64,
 }
 
 /// Limits of the state service, shared by all nodes.
@@ -229,9 +235,15 @@
         Span::secs(gaps.clamp(1.5, (self.report_s * 1.25 + 0.5).max(1.5)))
     }
 
-    /// A copy of a message may come well over a lease late; after this time none is expected any more.
+    /// How long the tasks of a gang wait for each other.
+    pub fn gang_wait(&self) -> Span {
+        Span::secs(self.gang_wait_s)
+    }
+
+    /// A copy of a message may come well over a lease late; after this time none is expected any more. With two leases a copy of a start
+    /// that came 35 s late, at a lease of 16 s, found its attempt forgotten and ran it again.
     pub fn copies_over(&self) -> Span {
-        Span::secs(self.lease_s * 2.0)
+        Span::secs(self.lease_s * 2.5)
     }
 }
 
@@ -263,6 +275,14 @@
 /// What an open job holds, its tasks among it.
 const JOB_MB: f64 = 0.003;
 
+fn default_gang_wait() -> f64 {
+    30.0
+}
+
+fn default_gang_peer() -> f64 {
+    5.0
+}
+
 fn default_fds() -> u64 {
     512
 }
@@ -375,6 +395,8 @@
             ("deployment.workers.report_s", d.workers.report_s),
             ("deployment.workers.lease_s", d.workers.lease_s),
             ("deployment.workers.cancel_s", d.workers.cancel_s),
+            ("deployment.workers.gang_wait_s", d.workers.gang_wait_s),
+            ("deployment.workers.gang_peer_s", d.workers.gang_peer_s),
             ("deployment.state.rps", d.state.rps),
             ("deployment.state.write_rps", d.state.write_rps),
             ("deployment.state.value_kb", d.state.value_kb),
--- a/src/term.rs
+++ b/src/term.rs
@@ -1,5 +1,6 @@
 //! What only the leader has: the slices put together for one token.
 
+use crate::arrivals::Arrivals;
 use crate::controller::{Effect, Origin, Slot, accepted, unavailable};
 use crate::fleet::{self, Fleet};
 use crate::intake::{self, Applied, Final, JobBook, Refusal};
@@ -9,7 +10,8 @@
 use crate::scheduling::Names;
 use crate::settings::Settings;
 use crate::store::Reply;
-use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskId, Time, Token, Wall};
+use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskAttempt, TaskId, Time, Token, Wall};
+use crate::upgrade::Format;
 use crate::watching::LostZone;
 use crate::wire::{Cause, Report, ReportAnswer};
 use crate::workers::{self, Enrolment, Machine, Phase};
@@ -19,6 +21,7 @@
 
 mod facts;
 mod reports;
+mod tasks;
 mod users;
 
 /// Direct commands are given up after this time; they may still be executed later.
@@ -66,6 +69,8 @@
 pub struct Term {
     pub(crate) settings: Settings,
     pub(crate) token: Token,
+    /// What may be written: gangs are taken only under a format that has them.
+    format: Format,
     pub(crate) since: Time,
     records: Records,
     pub(crate) book: JobBook,
@@ -73,6 +78,10 @@
     pub(crate) fleet: Fleet,
     pub(crate) plans: Plans,
     pub(crate) correction: Correction,
+    /// What came lately, by class.
+    pub(crate) arrivals: Arrivals,
+    /// Machines whose free room is kept for jobs that must start at once.
+    pub(crate) headroom: BTreeSet<MachineId>,
     pub(crate) names: Names,
     /// Machines of which the plan must learn something.
     pub(crate) changed: BTreeSet<MachineId>,
@@ -122,16 +131,19 @@
 
 impl Term {
     /// Begins a term.
-    pub fn new(token: Token, now: Time, settings: &Settings) -> Term {
+    pub fn new(token: Token, format: Format, now: Time, settings: &Settings) -> Term {
         Term {
             token,
+            format,
             since: now,
-            records: Records::new(token, now, &settings.deployment.state, &settings.tuning),
+            records: Records::new(token, format, now, &settings.deployment.state, &settings.tuning),
             book: JobBook::default(),
             machines: BTreeMap::new(),
             fleet: Fleet::new(token, now, &settings.deployment.cloud),
             plans: Plans::default(),
             correction: Correction::default(),
+            arrivals: Arrivals::default(),
+            headroom: BTreeSet::new(),
             names: Names::default(),
             changed: BTreeSet::new(),
             wanting: BTreeSet::new(),
--- a/src/term/facts.rs
+++ b/src/term/facts.rs
@@ -25,6 +25,11 @@
                         self.book.finals(),
                         self.machines.len()
                     );
+                    let mut jobs: Vec<&intake::Job> = self.book.live().collect();
+                    jobs.sort_unstable_by_key(|job| job.submitted);
+                    for job in jobs {
+                        self.arrivals.note(job.submitted, &job.record);
+                    }
                     self.wanting.extend(self.machines.keys());
                     self.changed.extend(self.machines.keys());
                     self.flush(now, out);
@@ -94,6 +99,7 @@
                 match self.book.apply(other, now, wall) {
                     Applied::Accepted(id) => {
                         if let Some(job) = self.book.get(id) {
+                            self.arrivals.note(now, &job.record);
                             debug!("accepted {id} class={} tasks={}", job.record.class, job.record.tasks);
                             for waiter in self.accepting.remove(&id).unwrap_or_default() {
                                 out.push(Effect::Answer(waiter.origin, accepted(&job.record)));
@@ -111,12 +117,7 @@
         info!("over {id} {}", if matches!(self.book.ended(id), Some(Final::Done(_))) { "done" } else { "cancelled" });
         self.plans.remove_job(id);
         for placed in left {
-            self.stop(placed.machine, placed.attempt, 0.0);
-            let machine = self.machines.get_mut(&placed.machine);
-            if let Some(hold) = machine.and_then(|m| m.holds.get_mut(&placed.attempt)) {
-                hold.claimed = false;
-                hold.reapable = true;
-            }
+            self.abandon(*placed);
         }
         let tasks: Vec<TaskId> = self.finished.keys().filter(|t| t.job == id).copied().collect();
         for task in tasks {
@@ -131,7 +132,8 @@
 
     pub(super) fn may_reap(&mut self, task: TaskId) {
         if let Some((machine, attempt)) = self.finished.remove(&task)
-            && let Some(hold) = self.machines.get_mut(&machine).and_then(|m| m.holds.get_mut(&attempt))
+            && let Some(hold) =
+                self.machines.get_mut(&machine).and_then(|m| m.holds.get_mut(&TaskAttempt { attempt, task }))
         {
             hold.reapable = true;
         }
--- a/src/term/reports.rs
+++ b/src/term/reports.rs
@@ -162,131 +162,17 @@
                     }
                 }
                 workers::Event::Image(image) => self.records.push(Record::Image(id, image)),
-                workers::Event::Found(attempt, task) => self.found(id, attempt, task),
-                workers::Event::Running(task) => {
-                    if let Some(placed) = self.book.get_mut(task.job).and_then(|j| j.placed.get_mut(&task.index)) {
-                        placed.running = true;
-                    }
-                }
+                workers::Event::Found { key, ended } => self.found(now, id, key, ended),
+                workers::Event::Running(key) => self.task_runs(key),
                 workers::Event::Lost(task) => {
                     debug!("lost {task} machine={id}");
                     self.unplace(id, task);
+                    if let Some(gang) = self.book.get_mut(task.job).and_then(|job| job.gang.as_mut()) {
+                        gang.task_lost(now);
+                    }
                 }
-                workers::Event::Exited { attempt, task, cause, since, running_since, predicted } => {
-                    self.exited(now, id, attempt, task, cause, since, running_since, predicted);
-                }
-            }
-        }
-    }
-
-    /// A task that an earlier leader started: taken over if its job is not over.
-    pub(super) fn found(&mut self, id: MachineId, attempt: Attempt, task: TaskId) {
-        let Some(machine) = self.machines.get_mut(&id) else { return };
-        let Some(hold) = machine.holds.get_mut(&attempt) else { return };
-        let Some(job) = self.book.get_mut(task.job) else { return };
-        hold.need = job.record.need;
-        hold.rank = job.record.rank;
-        hold.image.clone_from(&job.record.image);
-        hold.predicted = (!job.record.service).then_some(job.record.estimate);
-        let running = hold.phase == Phase::Running;
-        if !job.cancelling && job.pending.remove(task.index) {
-            job.placed.insert(task.index, intake::Placed { machine: id, attempt, running });
-            hold.claimed = true;
-            hold.stop = None;
-            if running {
-                machine.images.insert(job.record.image.clone());
-            }
-        } else if hold.occupies() {
-            warn!("stopping unexpected {task} attempt={attempt} machine={id}");
-        }
-    }
-
-    /// The task is on no machine any more.
-    pub(super) fn unplace(&mut self, id: MachineId, task: TaskId) {
-        if let Some(job) = self.book.get_mut(task.job)
-            && job.placed.get(&task.index).is_some_and(|p| p.machine == id)
-        {
-            job.placed.remove(&task.index);
-            self.book.waits_again(task);
-        }
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    pub(super) fn exited(
-        &mut self,
-        now: Time,
-        id: MachineId,
-        attempt: Attempt,
-        task: TaskId,
-        cause: Cause,
-        since: Time,
-        running_since: Option<Time>,
-        predicted: Option<Span>,
-    ) {
-        let Some(machine) = self.machines.get_mut(&id) else { return };
-        let Some(hold) = machine.holds.get_mut(&attempt) else { return };
-        hold.reapable = true;
-        let ours = std::mem::replace(&mut hold.claimed, false);
-        let inherited = attempt.0 >> 24 != self.token.0;
-        let Some(job) = self.book.get_mut(task.job) else { return };
-        if cause == Cause::Done && !job.record.service {
-            machine.failed_jobs.clear();
-            job.failures = 0;
-            if ours
-                && !inherited
-                && let Some(predicted) = predicted
-            {
-                self.correction.learn(now.since(since), predicted);
-                if self.correction.executions.is_multiple_of(LEARNT_EVERY) {
-                    self.records.push(Record::Learnt(self.correction.percent, self.correction.executions));
-                }
-            }
-            if job.done.insert(task.index) {
-                debug!("done {task} attempt={attempt} machine={id} took={}s", now.since(since).as_secs());
-                job.placed.remove(&task.index);
-                job.pending.remove(task.index);
-                hold.reapable = false;
-                self.finished.insert(task, (id, attempt));
-                self.records.push_done(task);
-            }
-            return;
-        }
-        if !ours {
-            return;
-        }
-        match cause {
-            Cause::Halted => debug!("stopped {task} machine={id}"),
-            Cause::Error => {
-                info!("failed {task} machine={id} ran={:?}", running_since.map(|r| now.since(r).as_secs()));
-                job.failures += 1;
-                if !job.failed_on.contains(&id) {
-                    job.failed_on.push(id);
-                }
-                // A job that fails wherever it runs is tried less and less often; a machine that
-                // fails different jobs is at fault itself.
-                if job.failed_on.len() >= 3 {
-                    let pause = 2u64.saturating_pow(job.failures.min(8)).min(60);
-                    job.not_before = now + Span(pause * 1000);
-                    job.failed_on.clear();
-                    self.plans.remove_job(task.job);
-                }
-                let job = self.book.get(task.job);
-                let faulty = job.is_some_and(|j| j.done.is_empty() && j.failures >= 3);
-                if !faulty {
-                    machine.failed_jobs.insert(task.job);
-                }
-                let succeeded_elsewhere = job.is_some_and(|j| !j.done.is_empty());
-                if (machine.failed_jobs.len() >= 2 || (succeeded_elsewhere && !faulty)) && machine.draining.is_none() {
-                    info!("quarantined machine={id} failed_jobs={}", machine.failed_jobs.len());
-                    machine.draining = Some("fails its tasks");
-                    self.changed.insert(id);
-                }
-            }
-            other => {
-                info!("refused {task} machine={id} cause={other:?}");
-                job.not_before = job.not_before.max(now + Span(500));
+                workers::Event::Exited(exit) => self.exited(now, id, exit),
             }
         }
-        self.unplace(id, task);
     }
 }
--- a/src/term/tests.rs
+++ b/src/term/tests.rs
@@ -5,7 +5,7 @@
 /// enrolled, or given back, is no machine on its way.
 #[test]
 fn a_rental_that_is_read_late_changes_nothing() {
-    let mut term = Term::new(Token(5), Time::START, &Settings::parse(SAMPLE).unwrap());
+    let mut term = Term::new(Token(5), Format::One, Time::START, &Settings::parse(SAMPLE).unwrap());
     let (kind, zone, endpoint) = ("big".to_string(), "a".to_string(), String::new());
     let machine = |n| MachineRecord {
         id: MachineId(n),
--- a/src/term/users.rs
+++ b/src/term/users.rs
@@ -60,7 +60,7 @@
             return None;
         }
         let teams = &self.settings.deployment.teams;
-        if let Err(refusal) = intake::can_ever_run(&record, teams, self.fleet.flavors()) {
+        if let Err(refusal) = intake::can_ever_run(&record, teams, self.fleet.flavors(), self.format.has_gangs()) {
             return Some(refused(&refusal));
         }
         // Types that the cloud does not have cannot matter, and need no room in the log.
@@ -138,7 +138,7 @@
         // that never learnt that its commit was carried out let the tasks run on through an outage. If it was not
         // carried out, the tasks wait again.
         for placed in stops {
-            self.stop(placed.machine, placed.attempt, 0.0);
+            self.stop(placed.machine, placed.key, 0.0);
         }
         None
     }
--- a/src/units.rs
+++ b/src/units.rs
@@ -23,7 +23,7 @@
     Token
 );
 number!(
-    /// One try at running a task; unique over all leaders because it is derived from the token.
+    /// One try at running a task, or all tasks of a gang; unique over all leaders because it is derived from the token.
     Attempt
 );
 number!(
@@ -121,6 +121,21 @@
     }
 }
 
+/// One attempt at one task. The tasks of a gang share the attempt's number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskAttempt {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The task.
+    pub task: TaskId,
+}
+
+impl fmt::Display for TaskAttempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} attempt={}", self.task, self.attempt)
+    }
+}
+
 /// A span of time in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 #[serde(transparent)]
--- /dev/null
+++ b/src/upgrade.rs
@@ -0,0 +1,164 @@
+//! Upgrades: when every controller is known to run this version, and the durable formats that depend on it.
+//!
+//! During an upgrade old and new processes share the state service, and either may lead. Facts of gangs must not exist while an old
+//! process can lead, since it drops log entries with facts that it does not know and would run a gang as an ordinary array. Each new
+//! process writes a key of its own once. When the keys of all controllers are there, the leader moves the leader key in one
+//! transaction (`Leadership::move_key`); what it leaves under the old name keeps old processes from ever leading again.
+
+use crate::store::{Reply, StateCall, condition};
+use crate::units::{Revision, Span, Time};
+use crate::wire::{Change, KeyPage, Txn};
+use serde_json::json;
+use std::collections::BTreeSet;
+
+/// A generation of the durable formats; a leader writes those of the leader key that it holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Format {
+    /// What the previous version reads and writes.
+    One,
+    /// With facts of gangs; only processes of this version and later ones can lead.
+    Two,
+}
+
+impl Format {
+    /// The key that a leader of this format holds.
+    pub fn leader_key(self) -> &'static str {
+        match self {
+            Format::One => "leader",
+            Format::Two => "leader-2",
+        }
+    }
+
+    /// Whether facts of gangs may be written.
+    pub fn has_gangs(self) -> bool {
+        self >= Format::Two
+    }
+}
+
+/// Prefix of the keys by which controllers say which format they can read.
+pub const VERSION_PREFIX: &str = "version/";
+/// The newest format that this version reads, as its key says it.
+const READS_FORMAT: u64 = 2;
+/// Without an answer for so long a request is repeated.
+const CALL_TIMEOUT: Span = Span(1500);
+/// Pause after a request that failed.
+const RETRY_AFTER: Span = Span(500);
+/// How often a leader looks for the keys of the other controllers.
+const LOOK_EVERY: Span = Span(2000);
+
+/// What the slice wants done or made known.
+#[derive(Debug, PartialEq)]
+pub enum Event {
+    /// Ask the state service; the number comes back with the reply.
+    Call(u64, StateCall),
+    /// Every controller has said that it reads the newest format.
+    AllUpgraded,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Request {
+    Announce,
+    Look { found: BTreeSet<String> },
+}
+
+#[derive(Debug)]
+struct InFlight {
+    id: u64,
+    request: Request,
+    sent: Time,
+}
+
+/// State of the slice.
+#[derive(Debug)]
+pub struct Upgrade {
+    node: String,
+    /// All controllers of the deployment.
+    controllers: BTreeSet<String>,
+    announced: bool,
+    calls: u64,
+    in_flight: Option<InFlight>,
+    next: Time,
+}
+
+impl Upgrade {
+    /// A process that has just started; `others` are the other controllers of the deployment.
+    pub fn new(node: &str, others: impl Iterator<Item = String>) -> Upgrade {
+        Upgrade {
+            node: node.to_string(),
+            controllers: others.chain([node.to_string()]).collect(),
+            announced: false,
+            calls: 0,
+            in_flight: None,
+            next: Time(0),
+        }
+    }
+
+    /// Lets time pass. `looks`: this node leads under the old format and asks whether all are upgraded.
+    pub fn tick(&mut self, now: Time, looks: bool, out: &mut Vec<Event>) {
+        if self.in_flight.as_ref().is_some_and(|f| now.since(f.sent) >= CALL_TIMEOUT) {
+            self.in_flight = None;
+        }
+        if self.in_flight.is_some() || now < self.next {
+            return;
+        }
+        if !self.announced {
+            self.announce(now, out);
+        } else if looks {
+            self.look(now, BTreeSet::new(), None, out);
+        }
+    }
+
+    fn announce(&mut self, now: Time, out: &mut Vec<Event>) {
+        let key = format!("{VERSION_PREFIX}{}", self.node);
+        let txn = Txn {
+            conditions: vec![condition(&key, Revision(0))],
+            changes: vec![Change::Put { key, value: json!({"format": READS_FORMAT}), lease: None }],
+        };
+        self.call(now, Request::Announce, StateCall::Txn(txn), out);
+    }
+
+    fn look(&mut self, now: Time, found: BTreeSet<String>, after: Option<String>, out: &mut Vec<Event>) {
+        let call = StateCall::Scan { prefix: VERSION_PREFIX.into(), after };
+        self.call(now, Request::Look { found }, call, out);
+    }
+
+    fn call(&mut self, now: Time, request: Request, call: StateCall, out: &mut Vec<Event>) {
+        self.calls += 1;
+        self.in_flight = Some(InFlight { id: self.calls, request, sent: now });
+        out.push(Event::Call(self.calls, call));
+    }
+
+    /// Takes an answer of the state service.
+    pub fn reply(&mut self, now: Time, id: u64, reply: &Reply, out: &mut Vec<Event>) {
+        let Some(flight) = self.in_flight.take_if(|f| f.id == id) else { return };
+        match (flight.request, reply.status) {
+            // A key that exists is this node's own, written by this process or an earlier one.
+            (Request::Announce, 200 | 409) => self.announced = true,
+            (Request::Look { found }, 200) => match reply.parse::<KeyPage>() {
+                Some(page) => self.page(now, found, page, out),
+                None => self.next = now + RETRY_AFTER,
+            },
+            _ => self.next = now + RETRY_AFTER,
+        }
+    }
+
+    fn page(&mut self, now: Time, mut found: BTreeSet<String>, page: KeyPage, out: &mut Vec<Event>) {
+        let last = page.items.last().map(|item| item.key.clone());
+        for item in page.items {
+            let upgraded = item.value.get("format").and_then(|f| f.as_u64()).is_some_and(|f| f >= READS_FORMAT);
+            if let Some(node) = item.key.strip_prefix(VERSION_PREFIX).filter(|_| upgraded) {
+                found.insert(node.to_string());
+            }
+        }
+        if page.more && last.is_some() {
+            return self.look(now, found, last, out);
+        }
+        self.next = now + LOOK_EVERY;
+        if self.controllers.is_subset(&found) {
+            out.push(Event::AllUpgraded);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/watching/tests.rs
+++ b/src/watching/tests.rs
@@ -6,7 +6,7 @@
 
 #[test]
 fn silence_counts_only_while_there_are_workers() {
-    let mut term = Term::new(Token(5), Time::START, &Settings::parse(SAMPLE).unwrap());
+    let mut term = Term::new(Token(5), crate::upgrade::Format::One, Time::START, &Settings::parse(SAMPLE).unwrap());
     term.unheard = Span(25_000);
     term.look_for_workers();
     for n in 1..=4 {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -99,6 +99,8 @@
 pub enum TaskState {
     /// Waiting for its image.
     Fetching,
+    /// A task of a gang that waits for the other tasks of its attempt.
+    Gathering,
     /// Running.
     Running,
     /// Told to stop and saving.
@@ -126,6 +128,10 @@
     InUse,
     /// Refused: the worker could not learn about the job.
     Unknown,
+    /// Another task of the gang is gone.
+    Peers,
+    /// The gang was not complete in time.
+    Incomplete,
     /// A word of a later protocol.
     #[serde(other)]
     Other,
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -27,8 +27,11 @@
     assert_eq!((report.token, report.spot, report.notice_s), (0, false, None));
     assert_eq!((tasks[0].state, tasks[0].cause), (TaskState::Exited, Some(Cause::InUse)));
     assert_eq!(tasks[1].state, TaskState::Flushing);
-    // The kit's real workers know a state that the protocol's page does not list.
-    let odd = text.replace("flushing", "gathering").replace("in_use", "incomplete");
+    let gang = text.replace("flushing", "gathering").replace("in_use", "incomplete");
+    let tasks = serde_json::from_str::<Report>(&gang).unwrap().tasks.unwrap();
+    assert_eq!((tasks[1].state, tasks[0].cause), (TaskState::Gathering, Some(Cause::Incomplete)));
+    // Words of a later protocol.
+    let odd = text.replace("flushing", "resting").replace("in_use", "tired");
     let tasks = serde_json::from_str::<Report>(&odd).unwrap().tasks.unwrap();
     assert_eq!((tasks[1].state, tasks[0].cause), (TaskState::Other, Some(Cause::Other)));
 }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -4,7 +4,7 @@
 //! then on nothing that an earlier leader sent can start or stop a task there.
 
 use crate::records::MachineRecord;
-use crate::units::{Attempt, JobId, MachineId, Room, Seq, Session, Span, TaskId, Time, Token};
+use crate::units::{Attempt, JobId, MachineId, Room, Seq, Session, Span, TaskAttempt, TaskId, Time, Token};
 use crate::wire::{Cause, Order, Report, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -31,6 +31,8 @@
     Ordered,
     /// Waiting for its image.
     Fetching,
+    /// Waiting for the other tasks of its gang.
+    Gathering,
     /// Running.
     Running,
     /// Saving after it was stopped.
@@ -87,6 +89,8 @@
     pub running_since: Option<Time>,
     /// Predicted time from order to end; `None` for services.
     pub predicted: Option<Span>,
+    /// Whether it is a task of a gang.
+    pub gang: bool,
 }
 
 impl Hold {
@@ -148,7 +152,7 @@
     /// When the cloud takes it away.
     pub notice: Option<Time>,
     /// Attempts that it holds or may hold.
-    pub holds: BTreeMap<Attempt, Hold>,
+    pub holds: BTreeMap<TaskAttempt, Hold>,
     /// Images that it is believed to hold.
     pub images: BTreeSet<String>,
     /// Direct command under way.
@@ -165,30 +169,37 @@
     pub failed_jobs: BTreeSet<JobId>,
 }
 
+/// The end of an attempt, as a worker showed it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Exit {
+    /// The attempt.
+    pub key: TaskAttempt,
+    /// Why.
+    pub cause: Cause,
+    /// When it had been ordered.
+    pub since: Time,
+    /// When it was first seen running.
+    pub running_since: Option<Time>,
+    /// Predicted time from order to end.
+    pub predicted: Option<Span>,
+}
+
 /// What a message of a worker showed.
 #[derive(Debug, PartialEq)]
 pub enum Event {
     /// An attempt that this leader did not know; it is to be claimed or stopped.
-    Found(Attempt, TaskId),
+    Found {
+        /// The attempt.
+        key: TaskAttempt,
+        /// Whether it has ended already.
+        ended: bool,
+    },
     /// A claimed attempt began to run.
-    Running(TaskId),
+    Running(TaskAttempt),
     /// The machine now holds this image.
     Image(String),
-    /// A claimed attempt ended.
-    Exited {
-        /// Attempt.
-        attempt: Attempt,
-        /// Task.
-        task: TaskId,
-        /// Why.
-        cause: Cause,
-        /// When it had been ordered and how long that was predicted to take.
-        since: Time,
-        /// When it was first seen running.
-        running_since: Option<Time>,
-        /// Predicted time from order to end.
-        predicted: Option<Span>,
-    },
+    /// An attempt ended.
+    Exited(Exit),
     /// A claimed attempt is surely gone without an end.
     Lost(TaskId),
     /// The machine has now seen this leader's token.
@@ -253,6 +264,11 @@
         self.holds.values().any(|h| h.task == task)
     }
 
+    /// Whether it holds an attempt of any task of this job, in any state.
+    pub fn knows_job(&self, job: JobId) -> bool {
+        self.holds.keys().any(|key| key.task.job == job)
+    }
+
     /// Notes a report's place among the others; false for a late copy of one, which shows nothing,
     /// renews nothing and needs no answer.
     ///
@@ -316,16 +332,16 @@
         let mut shown = Vec::with_capacity(report.tasks.as_ref().map_or(0, Vec::len));
         for item in report.tasks.iter().flatten() {
             let Some(task) = item.task else { continue };
-            let attempt = Attempt(item.attempt);
-            shown.push(attempt);
-            self.shown(now, attempt, task, item.state, item.cause, out);
+            let key = TaskAttempt { attempt: Attempt(item.attempt), task };
+            shown.push(key);
+            self.shown(now, key, item.state, item.cause, out);
         }
         shown.sort_unstable();
-        let gone: Vec<Attempt> =
+        let gone: Vec<TaskAttempt> =
             self.holds.iter().filter(|(a, h)| h.seen && shown.binary_search(a).is_err()).map(|(a, _)| *a).collect();
-        for attempt in gone {
+        for key in gone {
             // Reaped, as ordered; a claimed one that vanished is treated as lost.
-            if let Some(hold) = self.holds.remove(&attempt)
+            if let Some(hold) = self.holds.remove(&key)
                 && hold.claimed
             {
                 out.push(Event::Lost(hold.task));
@@ -333,24 +349,17 @@
         }
     }
 
-    fn shown(
-        &mut self,
-        now: Time,
-        attempt: Attempt,
-        task: TaskId,
-        state: TaskState,
-        cause: Option<Cause>,
-        out: &mut Vec<Event>,
-    ) {
+    fn shown(&mut self, now: Time, key: TaskAttempt, state: TaskState, cause: Option<Cause>, out: &mut Vec<Event>) {
         let phase = match state {
             TaskState::Fetching | TaskState::Other => Phase::Fetching,
+            TaskState::Gathering => Phase::Gathering,
             TaskState::Running => Phase::Running,
             TaskState::Flushing => Phase::Saving,
             TaskState::Exited => Phase::Exited,
         };
-        if let std::collections::btree_map::Entry::Vacant(slot) = self.holds.entry(attempt) {
+        if let std::collections::btree_map::Entry::Vacant(slot) = self.holds.entry(key) {
             slot.insert(Hold {
-                task,
+                task: key.task,
                 phase: if phase == Phase::Exited { Phase::Ordered } else { phase },
                 seen: true,
                 doubt: Doubt::None,
@@ -367,10 +376,11 @@
                 since: now,
                 running_since: (phase == Phase::Running).then_some(now),
                 predicted: None,
+                gang: false,
             });
-            out.push(Event::Found(attempt, task));
+            out.push(Event::Found { key, ended: phase == Phase::Exited });
         }
-        let Some(hold) = self.holds.get_mut(&attempt) else { return };
+        let Some(hold) = self.holds.get_mut(&key) else { return };
         if !std::mem::replace(&mut hold.seen, true) {
             // It has taken our order in.
             self.reached = now;
@@ -381,25 +391,26 @@
         }
         hold.phase = phase;
         match phase {
-            Phase::Running => {
-                hold.running_since = Some(now);
+            Phase::Running | Phase::Gathering => {
                 if !hold.image.is_empty() && self.images.insert(hold.image.clone()) {
                     out.push(Event::Image(hold.image.clone()));
                 }
-                if hold.claimed {
-                    out.push(Event::Running(task));
+                if phase == Phase::Running {
+                    hold.running_since = Some(now);
+                    if hold.claimed {
+                        out.push(Event::Running(key));
+                    }
                 }
             }
             Phase::Exited => {
                 hold.ended = now;
-                out.push(Event::Exited {
-                    attempt,
-                    task,
+                out.push(Event::Exited(Exit {
+                    key,
                     cause: cause.unwrap_or(Cause::Other),
                     since: hold.since,
                     running_since: hold.running_since,
                     predicted: hold.predicted,
-                });
+                }));
             }
             _ => {}
         }
@@ -425,9 +436,9 @@
     pub fn orders(&mut self, now: Time, keep: Span) -> Vec<Order> {
         let mut orders = Vec::new();
         let mut too_many = self.holds.values().filter(|h| !h.occupies()).count().saturating_sub(ENDED_LIMIT);
-        for (attempt, hold) in &mut self.holds {
+        for (key, hold) in &mut self.holds {
             // Most attempts need no order, so their names are not written out.
-            let (task, attempt) = (hold.task, attempt.0);
+            let (task, attempt) = (key.task, key.attempt.0);
             if hold.phase == Phase::Exited {
                 let safe = !hold.direct || now.since(hold.ended) >= keep;
                 if hold.reapable && hold.doubt == Doubt::None && (safe || too_many > 0) {
@@ -459,8 +470,8 @@
     /// What went with the answer to a report is not sent again: the next answer repeats it if need be.
     pub fn direct_orders(&mut self, command: u64) -> Vec<Order> {
         let mut orders = Vec::new();
-        for (attempt, hold) in &mut self.holds {
-            let (task, attempt) = (hold.task, attempt.0);
+        for (key, hold) in &mut self.holds {
+            let (task, attempt) = (key.task, key.attempt.0);
             match hold.stop {
                 None if !hold.seen && !hold.start_sent => {
                     hold.start_sent = true;
@@ -497,8 +508,8 @@
     }
 
     /// Orders an attempt to stop; true if the machine is to be told.
-    pub fn stop(&mut self, attempt: Attempt, grace_s: f64) -> bool {
-        if let Some(hold) = self.holds.get_mut(&attempt)
+    pub fn stop(&mut self, key: TaskAttempt, grace_s: f64) -> bool {
+        if let Some(hold) = self.holds.get_mut(&key)
             && hold.occupies()
             && hold.stop.is_none_or(|g| g > grace_s)
         {
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -19,6 +19,10 @@
     Machine::new(record, Room { cpus: 4000, gpus: 0, memory: 16_000 }, Enrolment::Durable, Time(0))
 }
 
+fn first_attempt() -> TaskAttempt {
+    TaskAttempt { attempt: Attempt(1), task: "job-000001/0".parse().unwrap() }
+}
+
 fn hold(task: &str, doubt: Doubt) -> Hold {
     Hold {
         task: task.parse().unwrap(),
@@ -38,6 +42,7 @@
         since: Time(0),
         running_since: None,
         predicted: None,
+        gang: false,
     }
 }
 
@@ -48,7 +53,7 @@
     let (mut m, mut out) = (machine(), Vec::new());
     m.message(Time(100), &report(1, 5, 7, json!([])), Token(7), &mut out);
     assert_eq!((m.fenced, m.answered), (true, Time(100)));
-    m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::None));
+    m.holds.insert(first_attempt(), hold("job-000001/0", Doubt::None));
     out.clear();
     m.message(Time(16_500), &report(2, 1, 7, json!([])), Token(7), &mut out);
     assert_eq!(out, [Event::Lost("job-000001/0".parse().unwrap())]);
@@ -98,7 +103,7 @@
     m.command_over(Time(4000), 1, false);
     hear(&mut m, 12_100, &report(1, 8, 7, json!([])));
     assert_eq!((m.reached, m.unanswered), (Time(2100), 1), "it went elsewhere in between");
-    m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::Lost));
+    m.holds.insert(first_attempt(), hold("job-000001/0", Doubt::Lost));
     hear(&mut m, 22_100, &report(1, 10, 7, json!([])));
     assert_eq!(m.reached, Time(2100), "the order had no effect");
     let fetching = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "fetching"}]);
@@ -109,8 +114,8 @@
 #[test]
 fn a_start_in_doubt_is_settled_by_run_and_kill_and_not_reaped() {
     let mut m = machine();
-    m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::Lost));
-    m.stop(Attempt(1), 0.0);
+    m.holds.insert(first_attempt(), hold("job-000001/0", Doubt::Lost));
+    m.stop(first_attempt(), 0.0);
     let (task, attempt) = ("job-000001/0".to_string(), 1);
     let kill = Order::Kill { task: task.clone(), attempt, grace_s: 0.0 };
     assert_eq!(m.orders(Time(1), Span(0)), [Order::Run { task, attempt }, kill]);
@@ -125,13 +130,13 @@
 #[test]
 fn a_task_that_saves_is_ended_by_a_second_order() {
     let mut m = machine();
-    m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::None));
+    m.holds.insert(first_attempt(), hold("job-000001/0", Doubt::None));
     m.fenced = true;
-    m.stop(Attempt(1), 10.0);
+    m.stop(first_attempt(), 10.0);
     let saving = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "flushing"}]);
     m.message(Time(1), &report(1, 1, 7, saving), Token(7), &mut Vec::new());
     assert!(m.orders(Time(1), Span(0)).is_empty(), "it may save");
-    m.stop(Attempt(1), 0.0);
+    m.stop(first_attempt(), 0.0);
     let kill = Order::Kill { task: "job-000001/0".into(), attempt: 1, grace_s: 0.0 };
     assert_eq!(m.orders(Time(2), Span(0)), [kill]);
 }
@@ -140,7 +145,7 @@
 #[test]
 fn what_a_direct_command_started_is_reaped_only_when_no_copy_comes_any_more() {
     let mut m = machine();
-    m.holds.insert(Attempt(1), hold("job-000001/0", Doubt::InFlight(3)));
+    m.holds.insert(first_attempt(), hold("job-000001/0", Doubt::InFlight(3)));
     m.command_over(Time(10), 3, true);
     m.fenced = true;
     let exited = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "exited", "Cause": "done"}]);
@@ -157,5 +162,5 @@
     m.message(Time(100), &report(1, 5, 6, running.clone()), Token(7), &mut out);
     assert!(out.is_empty() && !m.fenced);
     m.message(Time(101), &report(1, 6, 7, running), Token(7), &mut out);
-    assert_eq!(out, [Event::Fenced, Event::Found(Attempt(1), "job-000001/0".parse().unwrap())]);
+    assert_eq!(out, [Event::Fenced, Event::Found { key: first_attempt(), ended: false }]);
 }
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -273,7 +273,10 @@
     }
 
     // The leader is killed: the service stays as it was, and another node answers for it.
-    let key = world.lock().unwrap().state.keys["leader"].0["node"].as_str().unwrap().to_string();
+    // All three are of this version, so the leader key has moved, and what is left under its old name is no holder.
+    until("a moved key", || world.lock().unwrap().state.keys.contains_key("leader-2").then_some(()));
+    assert_eq!(world.lock().unwrap().state.keys["leader"].0, json!({"moved_to": "leader-2"}));
+    let key = world.lock().unwrap().state.keys["leader-2"].0["node"].as_str().unwrap().to_string();
     let leader: usize = key.strip_prefix("kraal-").unwrap().parse().unwrap();
     let mut child = nodes.0[leader].take().unwrap();
     child.kill().unwrap();
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -153,7 +153,13 @@
         }
         Fault::Submit(n) if !sim.jobs.contains_key(&name(*n)) => {
             let id = name(*n);
-            match n % 4 {
+            let gang = [
+                ("Shape", json!("group")),
+                ("RuntimeS", json!(14.0)),
+                ("BookmarkS", json!(5.0)),
+                ("StashS", json!(2.0)),
+            ];
+            match n % 6 {
                 0 => sim.submit(&id, &[("Pieces", json!(3)), ("RuntimeS", json!(6.0)), ("Crew", json!("small"))]),
                 1 => sim.submit(
                     &id,
@@ -167,7 +173,9 @@
                     ],
                 ),
                 2 => sim.submit(&id, &[("Loaners", json!(true)), ("RuntimeS", json!(15.0)), ("DueS", json!(60.0))]),
-                _ => sim.submit(&id, &[("Pieces", json!(5)), ("Rank", json!("low")), ("Cores", json!(4.0))]),
+                3 => sim.submit(&id, &[("Pieces", json!(5)), ("Rank", json!("low")), ("Cores", json!(4.0))]),
+                4 => sim.submit(&id, &[&gang[..], &[("Together", json!(true)), ("Crew", json!("small"))]].concat()),
+                _ => sim.submit(&id, &[&gang[..], &[("Pieces", json!(4)), ("Loaners", json!(true))]].concat()),
             }
         }
         Fault::Submit(n) => sim.repeat(&name(*n)),
--- /dev/null
+++ b/tests/support/gangs.rs
@@ -0,0 +1,243 @@
+//! Gangs on the stand-in workers, by the operators' table of phases: tasks of one attempt wait for each other, start, save, fail and
+//! complete together.
+
+use super::{AttemptKey, Event, Sim, TaskState, job_of};
+
+/// One attempt at a gang.
+#[derive(Debug, Default)]
+pub struct GangAttempt {
+    /// When all tasks had their image, if they had.
+    started: Option<u64>,
+    /// Saved progress with which it started, in milliseconds.
+    base: u64,
+    /// When the first of its running tasks was told to stop.
+    first_kill: Option<u64>,
+    /// Tasks that were told to stop in time and with enough time for saving.
+    told: u64,
+    /// When a task was gone, and how long the others take to notice.
+    broken: Option<(u64, u64)>,
+    /// All tasks are done, or saved.
+    over: bool,
+}
+
+impl GangAttempt {
+    /// Progress of the job at this time.
+    fn progress(&self, now: u64) -> u64 {
+        let until = self.first_kill.unwrap_or(now);
+        self.base + self.started.map_or(0, |at| until.saturating_sub(at))
+    }
+}
+
+impl Sim {
+    /// Whether a job, or a task's job, is a gang.
+    pub(super) fn is_gang(&self, name: &str) -> bool {
+        self.jobs.get(job_of(name)).is_some_and(|j| j.spec["Shape"] == "group")
+    }
+
+    fn milliseconds(&self, job: &str, field: &str) -> u64 {
+        (self.jobs[job].spec[field].as_f64().unwrap_or(0.0) * 1000.0) as u64
+    }
+
+    /// Machines that execute a task of an attempt in this state.
+    fn members(&self, job: &str, attempt: u64, state: TaskState) -> Vec<(u64, AttemptKey)> {
+        let workers = self.workers.iter().filter(|(_, w)| w.alive && !w.hung);
+        let of = |key: &AttemptKey| key.0 == attempt && job_of(&key.1) == job;
+        let tasks = workers.flat_map(|(id, w)| w.tasks.iter().map(move |(key, task)| (id, key, task)));
+        tasks.filter(|(_, key, t)| t.state == state && of(key)).map(|(id, key, _)| (*id, key.clone())).collect()
+    }
+
+    fn exit(&mut self, machine: u64, key: &AttemptKey, cause: &'static str, saved: bool) {
+        let task = self.workers.get_mut(&machine).and_then(|w| w.tasks.get_mut(key));
+        if let Some(t) = task.filter(|t| t.state != TaskState::Exited) {
+            (t.state, t.cause, t.saved) = (TaskState::Exited, Some(cause), saved);
+            self.report_soon(machine);
+        }
+    }
+
+    /// How many attempts at a gang had a task with its image.
+    pub fn attempts(&self, job: &str) -> usize {
+        self.gathered.iter().filter(|(id, _)| id == job).count()
+    }
+
+    /// Machines on which tasks of a gang wait for the others.
+    pub fn gathering(&self, job: &str) -> Vec<u64> {
+        let waits =
+            |(key, t): (&AttemptKey, &super::OnWorker)| t.state == TaskState::Gathering && job_of(&key.1) == job;
+        self.workers.iter().filter(|(_, w)| w.tasks.iter().any(waits)).map(|(id, _)| *id).collect()
+    }
+
+    /// How many tasks of a job save.
+    pub fn saving(&self, job: &str) -> usize {
+        let tasks = self.workers.values().flat_map(|w| &w.tasks);
+        tasks.filter(|(key, t)| t.state == TaskState::Flushing && job_of(&key.1) == job).count()
+    }
+
+    /// How many tasks of a job are on machines, those included that fetch their image.
+    pub fn on_machines(&self, job: &str) -> usize {
+        let tasks = self.workers.values().flat_map(|w| &w.tasks);
+        tasks.filter(|(key, t)| t.state != TaskState::Exited && job_of(&key.1) == job).count()
+    }
+
+    /// A machine that holds a task of a job.
+    pub fn holder(&self, job: &str) -> Option<u64> {
+        self.holder_but(job, &[])
+    }
+
+    /// A machine other than these that holds a task of a job.
+    pub fn holder_but(&self, job: &str, others: &[u64]) -> Option<u64> {
+        let holds = |(key, t): (&AttemptKey, &super::OnWorker)| t.state != TaskState::Exited && job_of(&key.1) == job;
+        let mut workers = self.workers.iter().filter(|(id, _)| !others.contains(id));
+        workers.find(|(_, w)| w.tasks.iter().any(holds)).map(|(id, _)| *id)
+    }
+
+    /// The zone of a machine.
+    pub fn zone_of_machine(&self, machine: u64) -> String {
+        self.workers[&machine].zone.clone()
+    }
+
+    /// A task of a gang has its image and waits for the others.
+    pub(super) fn gather(&mut self, machine: u64, session: u64, key: AttemptKey) {
+        self.after(self.site.gang_wait_ms, Event::GatherTimeout(machine, session, key.clone()));
+        let (job, attempt) = (job_of(&key.1).to_string(), key.0);
+        self.gathered.insert((job.clone(), attempt));
+        let members = self.members(&job, attempt, TaskState::Gathering);
+        self.report_soon(machine);
+        if (members.len() as u64) < self.jobs[&job].pieces() {
+            return;
+        }
+        let gang = self.gangs.entry((job.clone(), attempt)).or_default();
+        gang.started = Some(self.now);
+        gang.base = self.progress.get(&job).copied().unwrap_or(0);
+        let left = (self.milliseconds(&job, "RuntimeS")).saturating_sub(self.gangs[&(job.clone(), attempt)].base);
+        for (machine, key) in members {
+            let Some(w) = self.workers.get_mut(&machine) else { continue };
+            let (session, sick) = (w.session, w.sick || self.failing.contains(&job));
+            if let Some(t) = w.tasks.get_mut(&key) {
+                t.state = TaskState::Running;
+            }
+            if sick {
+                self.after(200, Event::Ran(machine, session, key));
+            }
+            self.report_soon(machine);
+        }
+        self.after(left.max(1), Event::GangDone(job, attempt));
+    }
+
+    /// A task has waited for the others as long as it may.
+    pub(super) fn gather_timeout(&mut self, machine: u64, session: u64, key: &AttemptKey) {
+        let waits = |w: &super::Worker| {
+            w.session == session && w.tasks.get(key).is_some_and(|t| t.state == TaskState::Gathering)
+        };
+        if self.workers.get(&machine).is_some_and(waits) {
+            self.incomplete += 1;
+            self.exit(machine, key, "incomplete", false);
+        }
+    }
+
+    /// The gang has run as long as it takes: all tasks are done if all ran to the end.
+    pub(super) fn gang_done(&mut self, job: &str, attempt: u64) {
+        let members = self.members(job, attempt, TaskState::Running);
+        let pieces = self.jobs[job].pieces();
+        let gang = self.gangs.entry((job.to_string(), attempt)).or_default();
+        if gang.over || gang.broken.is_some() || gang.first_kill.is_some() || (members.len() as u64) < pieces {
+            return;
+        }
+        gang.over = true;
+        for (machine, key) in members {
+            self.finished.insert(key.1.clone());
+            if let Some(w) = self.workers.get_mut(&machine) {
+                w.done.insert(key.1.clone());
+            }
+            self.exit(machine, &key, "done", false);
+        }
+    }
+
+    /// A task of a gang is told to stop.
+    pub(super) fn kill_gang_task(&mut self, machine: u64, key: &AttemptKey, grace_s: f64) {
+        let (now, job) = (self.now, job_of(&key.1).to_string());
+        let state = self.workers[&machine].tasks.get(key).map(|t| t.state);
+        let (save, every) = (self.milliseconds(&job, "StashS"), self.milliseconds(&job, "BookmarkS"));
+        let peer_ms = self.site.gang_peer_ms;
+        let gang = self.gangs.entry((job, key.0)).or_default();
+        match state {
+            None | Some(TaskState::Exited) => {}
+            Some(TaskState::Running) => {
+                let first = *gang.first_kill.get_or_insert(now);
+                let in_time = now <= first + peer_ms && gang.broken.is_none();
+                if every > 0 && grace_s * 1000.0 >= save as f64 && in_time {
+                    gang.told += 1;
+                    let w = self.workers.get_mut(&machine).expect("a worker");
+                    let session = w.session;
+                    if let Some(t) = w.tasks.get_mut(key) {
+                        t.state = TaskState::Flushing;
+                    }
+                    self.after(save, Event::GangSaved(machine, session, key.clone()));
+                } else {
+                    gang.broken.get_or_insert((now, 0));
+                    self.exit(machine, key, "halted", false);
+                }
+            }
+            Some(TaskState::Flushing) if grace_s == 0.0 => {
+                if !gang.over {
+                    gang.broken.get_or_insert((now, 0));
+                    self.cut_saves += 1;
+                }
+                self.exit(machine, key, "halted", false);
+            }
+            Some(TaskState::Flushing) => {}
+            Some(_) => self.exit(machine, key, "halted", false),
+        }
+    }
+
+    /// A task has saved. Progress is safe once all were told in time and the first of them exits.
+    pub(super) fn gang_task_saved(&mut self, machine: u64, session: u64, key: &AttemptKey) {
+        let Some(w) = self.workers.get(&machine) else { return };
+        let saving = w.tasks.get(key).is_some_and(|t| t.state == TaskState::Flushing);
+        if w.session != session || !saving {
+            return;
+        }
+        let (now, job) = (self.now, job_of(&key.1).to_string());
+        let pieces = self.jobs[&job].pieces();
+        let gang = self.gangs.entry((job.clone(), key.0)).or_default();
+        if gang.broken.is_some() {
+            return self.exit(machine, key, "peers", false);
+        }
+        if gang.told == pieces {
+            gang.over = true;
+            let progress = gang.progress(now);
+            self.progress.insert(job, progress);
+            return self.exit(machine, key, "halted", true);
+        }
+        // It waits for the others.
+        self.after(100, Event::GangSaved(machine, session, key.clone()));
+    }
+
+    /// Tasks notice within some time that another one of their gang is gone, or was not told to stop with them.
+    pub(super) fn check_gangs(&mut self) {
+        let now = self.now;
+        let attempts: Vec<(String, u64)> =
+            self.gangs.iter().filter(|(_, g)| g.started.is_some() && !g.over).map(|(id, _)| id.clone()).collect();
+        for (job, attempt) in attempts {
+            let running = self.members(&job, attempt, TaskState::Running);
+            let saving = self.members(&job, attempt, TaskState::Flushing);
+            let (pieces, delay) = (self.jobs[&job].pieces(), self.chance(self.site.gang_peer_ms));
+            let (every, peer_ms) = (self.milliseconds(&job, "BookmarkS"), self.site.gang_peer_ms);
+            let Some(gang) = self.gangs.get_mut(&(job.clone(), attempt)) else { continue };
+            let missing = (running.len() + saving.len()) < pieces as usize;
+            let untold = gang.first_kill.is_some_and(|at| now > at + peer_ms) && gang.told < pieces;
+            if gang.broken.is_none() && (missing || untold) {
+                gang.broken = Some((now, if untold { 0 } else { delay }));
+            }
+            let Some((at, delay)) = gang.broken else { continue };
+            let progress = gang.progress(at);
+            let checkpoint = progress.checked_div(every).unwrap_or(0) * every;
+            let saved = self.progress.entry(job).or_insert(0);
+            *saved = (*saved).max(checkpoint);
+            if now >= at + delay {
+                for (machine, key) in running.into_iter().chain(saving) {
+                    self.exit(machine, &key, "peers", false);
+                }
+            }
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,8 @@
 //! Everything is deterministic: one queue of events, fixed seeds, no clocks and no sockets.
 #![allow(dead_code)]
 
+mod gangs;
+
 use caperstile::controller::{Controller, Effect, Input, Origin, Slot};
 use caperstile::fleet::CloudCall;
 use caperstile::peers::{Answer, UserCall};
@@ -14,6 +16,9 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+/// An attempt at a task: the attempt's number and the task's name.
+type AttemptKey = (u64, String);
+
 /// A deployment's size and times.
 #[derive(Debug, Clone)]
 pub struct Site {
@@ -24,6 +29,10 @@
     pub report_ms: u64,
     pub lease_ms: u64,
     pub cancel_ms: u64,
+    /// How long tasks of a gang wait for each other.
+    pub gang_wait_ms: u64,
+    /// Within what time they notice that one is gone, and must be told to stop.
+    pub gang_peer_ms: u64,
     pub boot_ms: u64,
     /// Machines of each zone and kind.
     pub machines: u32,
@@ -46,6 +55,8 @@
             report_ms: 2000,
             lease_ms: 16_000,
             cancel_ms: 41_000,
+            gang_wait_ms: 50_000,
+            gang_peer_ms: 8000,
             boot_ms: 5000,
             machines: 8,
             value_kb: 1.0,
@@ -67,6 +78,8 @@
             report_ms: 4000,
             lease_ms: 22_000,
             cancel_ms: 42_000,
+            gang_wait_ms: 50_000,
+            gang_peer_ms: 8000,
             boot_ms: 25_000,
             machines: 125,
             value_kb: 8.0,
@@ -82,6 +95,8 @@
             report_ms: 6000,
             lease_ms: 31_000,
             cancel_ms: 51_000,
+            gang_wait_ms: 50_000,
+            gang_peer_ms: 8000,
             machines: 260,
             write_rps: 50.0,
             fd_limit: 2129,
@@ -107,6 +122,11 @@
     format!("n{node}")
 }
 
+/// Whether a task in this state is on its machine: it holds its image and has not ended.
+fn on_machine(state: TaskState) -> bool {
+    matches!(state, TaskState::Gathering | TaskState::Running | TaskState::Flushing)
+}
+
 /// The job of a task.
 fn job_of(task: &str) -> &str {
     task.split('/').next().unwrap_or_default()
@@ -127,13 +147,15 @@
     text += &format!(
         "[external]\ncloud = \"127.0.0.1:4\"\nstate = \"127.0.0.1:5\"\n[deployment]\nsize = {}\n\
         [[deployment.teams]]\nname = \"crew\"\n[[deployment.teams]]\nname = \"small\"\ncpus_max = 4.0\n\
-        [deployment.workers]\nreport_s = {:?}\nlease_s = {:?}\ncancel_s = {:?}\n\
+        [deployment.workers]\nreport_s = {:?}\nlease_s = {:?}\ncancel_s = {:?}\ngang_wait_s = {:?}\ngang_peer_s = {:?}\n\
         [deployment.state]\nrps = 400.0\nwrite_rps = {:?}\nvalue_kb = {:?}\ntxn_ops = 16\n\
         [deployment.cloud]\nrps = 6.0\nlist_lag_s = 2.0\n[deployment.resources]\nmemory_mb = 56.0\nfd_limit = {}\n",
         site.nodes,
         secs(site.report_ms),
         secs(site.lease_ms),
         secs(site.cancel_ms),
+        secs(site.gang_wait_ms),
+        secs(site.gang_peer_ms),
         site.write_rps,
         site.value_kb,
         site.fd_limit
@@ -318,7 +340,7 @@
     session: u64,
     seq: u64,
     token: u64,
-    tasks: BTreeMap<u64, OnWorker>,
+    tasks: BTreeMap<AttemptKey, OnWorker>,
     images: BTreeSet<String>,
     done: BTreeSet<String>,
     node: usize,
@@ -347,8 +369,11 @@
     Report(u64, u64, Box<Report>),
     WorkerTick(u64),
     WorkerAnswer { machine: u64, number: u64, session: u64, sent: u64, answer: Box<Answer> },
-    Fetched(u64, u64, u64),
-    Ran(u64, u64, u64),
+    Fetched(u64, u64, AttemptKey),
+    Ran(u64, u64, AttemptKey),
+    GatherTimeout(u64, u64, AttemptKey),
+    GangDone(String, u64),
+    GangSaved(u64, u64, AttemptKey),
     Boot(u64),
     LeaseCheck(u64),
     Poll(String),
@@ -368,6 +393,8 @@
             | Event::WorkerTick(machine)
             | Event::WorkerAnswer { machine, .. }
             | Event::Fetched(machine, ..)
+            | Event::GatherTimeout(machine, ..)
+            | Event::GangSaved(machine, ..)
             | Event::Ran(machine, ..) => Some(*machine),
             _ => None,
         }
@@ -479,7 +506,19 @@
     /// What the nodes answered to the last health check.
     pub healthy: BTreeMap<usize, bool>,
     /// Where tasks of a job run or ran: machine and attempt.
-    active: HashMap<String, Vec<(u64, u64)>>,
+    active: HashMap<String, Vec<(u64, AttemptKey)>>,
+    /// Attempts at gangs, by job and number.
+    gangs: BTreeMap<(String, u64), gangs::GangAttempt>,
+    /// Saved progress of gangs in milliseconds.
+    pub progress: BTreeMap<String, u64>,
+    /// Attempts at gangs of which a task had its image.
+    gathered: BTreeSet<(String, u64)>,
+    /// Jobs that fail on every machine.
+    pub failing: BTreeSet<String>,
+    /// Tasks that gave up waiting for the rest of their gang.
+    pub incomplete: u64,
+    /// Tasks of gangs that were ended while they saved.
+    pub cut_saves: u64,
     checked_at: u64,
     pub site: Site,
     pub broken: Vec<String>,
@@ -542,6 +581,12 @@
             slowest: 0,
             healthy: BTreeMap::new(),
             active: HashMap::new(),
+            gangs: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            gathered: BTreeSet::new(),
+            failing: BTreeSet::new(),
+            incomplete: 0,
+            cut_saves: 0,
             checked_at: 0,
             site,
             broken: Vec::new(),
@@ -1138,7 +1183,7 @@
         w.seq += 1;
         let tasks = w.tasks.iter().map(|(attempt, t)| ReportedTask {
             task: t.task.parse().ok(),
-            attempt: *attempt,
+            attempt: attempt.0,
             state: t.state,
             cause: t.cause.map(|c| serde_json::from_value(json!(c)).expect("a cause")),
             saved: Some(t.saved),
@@ -1247,7 +1292,8 @@
             let w = self.workers.get_mut(&machine).expect("a worker");
             match order {
                 Order::Run { task, attempt } => {
-                    if w.tasks.contains_key(attempt) {
+                    let key = (*attempt, task.clone());
+                    if w.tasks.contains_key(&key) {
                         continue;
                     }
                     let id = job_of(task);
@@ -1266,27 +1312,34 @@
                     };
                     let state = if refusal.is_some() { TaskState::Exited } else { TaskState::Fetching };
                     let cached = w.images.contains(&image);
-                    w.tasks.insert(*attempt, OnWorker { task: task.clone(), state, cause: refusal, saved: false });
+                    w.tasks.insert(key.clone(), OnWorker { task: task.clone(), state, cause: refusal, saved: false });
                     let session = w.session;
                     if refusal.is_none() {
                         if cached {
-                            self.begin(machine, session, *attempt);
+                            self.begin(machine, session, key);
                         } else {
-                            self.after(1000, Event::Fetched(machine, session, *attempt));
+                            self.after(1000, Event::Fetched(machine, session, key));
                         }
                     }
                 }
-                Order::Kill { attempt, .. } => {
-                    if let Some(t) = w.tasks.get_mut(attempt)
+                Order::Kill { task, attempt, grace_s } => {
+                    let key = (*attempt, task.clone());
+                    if self.is_gang(task) {
+                        self.kill_gang_task(machine, &key, *grace_s);
+                        continue;
+                    }
+                    let w = self.workers.get_mut(&machine).expect("a worker");
+                    if let Some(t) = w.tasks.get_mut(&key)
                         && t.state != TaskState::Exited
                     {
                         t.state = TaskState::Exited;
                         t.cause = Some("halted");
                     }
                 }
-                Order::Reap { attempt, .. } => {
-                    if w.tasks.get(attempt).is_some_and(|t| t.state == TaskState::Exited) {
-                        w.tasks.remove(attempt);
+                Order::Reap { task, attempt } => {
+                    let key = (*attempt, task.clone());
+                    if w.tasks.get(&key).is_some_and(|t| t.state == TaskState::Exited) {
+                        w.tasks.remove(&key);
                     }
                 }
             }
@@ -1313,21 +1366,19 @@
 
     /// Forgets tasks of a job that run no more.
     fn tidy(&mut self, id: &str) {
-        let runs = |w: &Worker, attempt: &u64| {
-            w.tasks.get(attempt).is_some_and(|t| matches!(t.state, TaskState::Running | TaskState::Flushing))
-        };
+        let runs = |w: &Worker, key: &AttemptKey| w.tasks.get(key).is_some_and(|t| on_machine(t.state));
         if let Some(active) = self.active.get_mut(id) {
             active.retain(|(machine, attempt)| self.workers.get(machine).is_some_and(|w| runs(w, attempt)));
         }
     }
 
     /// A task holds its image and starts: the rules are checked.
-    fn begin(&mut self, machine: u64, session: u64, attempt: u64) {
+    fn begin(&mut self, machine: u64, session: u64, key: AttemptKey) {
         let Some(w) = self.workers.get(&machine) else { return };
         if w.session != session || !w.alive {
             return;
         }
-        let Some(t) = w.tasks.get(&attempt).filter(|t| t.state == TaskState::Fetching) else { return };
+        let Some(t) = w.tasks.get(&key).filter(|t| t.state == TaskState::Fetching) else { return };
         let task = t.task.clone();
         let (zone, spot, sick, was_done) = (w.zone.clone(), w.spot, w.sick, w.done.contains(&task));
         let id = job_of(&task).to_string();
@@ -1335,11 +1386,18 @@
         let mut broken = Vec::new();
         let mut in_zone = 0;
         self.tidy(&id);
-        for (other, attempt) in self.active.get(&id).into_iter().flatten() {
+        let (together, gang) = (self.jobs[&id].spec["Together"] == true, self.is_gang(&id));
+        for (other, other_key) in self.active.get(&id).into_iter().flatten() {
             let w = &self.workers[other];
-            if w.tasks[attempt].task == task && *other != machine {
+            if other_key.1 == task && *other != machine {
                 broken.push(format!("{now} ran_twice: {task} on {machine} and {other}"));
             }
+            if together && w.zone != zone {
+                broken.push(format!("{now} wrong_place: {task} in zone {zone} while {} is in {}", other_key.1, w.zone));
+            }
+            if gang && other_key.0 != key.0 {
+                broken.push(format!("{now} mixed attempts: {task} of {} beside {other_key:?}", key.0));
+            }
             in_zone += u64::from(w.zone == zone);
         }
         let mut team_cores = 0.0;
@@ -1374,18 +1432,20 @@
             }
         }
         self.broken.extend(broken);
-        self.active.entry(id).or_default().push((machine, attempt));
+        self.active.entry(id).or_default().push((machine, key.clone()));
         self.starts.entry(task).or_default().push(machine);
         if let Some(w) = self.workers.get_mut(&machine) {
             w.images.insert(image);
-            if let Some(t) = w.tasks.get_mut(&attempt) {
-                t.state = TaskState::Running;
+            if let Some(t) = w.tasks.get_mut(&key) {
+                t.state = if gang && !was_done { TaskState::Gathering } else { TaskState::Running };
             }
         }
-        if sick {
-            self.after(200, Event::Ran(machine, session, attempt));
+        if gang && !was_done {
+            self.gather(machine, session, key);
+        } else if sick {
+            self.after(200, Event::Ran(machine, session, key));
         } else if !service {
-            self.after(if was_done { 1 } else { run }, Event::Ran(machine, session, attempt));
+            self.after(if was_done { 1 } else { run }, Event::Ran(machine, session, key));
         }
         self.report_soon(machine);
     }
@@ -1415,12 +1475,13 @@
         }
         self.checked_at = now;
         self.check_waiting();
+        self.check_gangs();
         if self.jobs.values().all(|j| j.cancelled_at.is_none()) {
             return;
         }
         let cancel_ms = self.site.cancel_ms;
         for w in self.workers.values().filter(|w| !w.hung) {
-            for t in w.tasks.values().filter(|t| matches!(t.state, TaskState::Running | TaskState::Flushing)) {
+            for t in w.tasks.values().filter(|t| on_machine(t.state)) {
                 let job = &self.jobs[job_of(&t.task)];
                 if job.cancelled_at.is_some_and(|at| now > at + cancel_ms) && self.overran.insert(t.task.clone()) {
                     self.broken.push(format!("{now} ran_cancelled: {}", t.task));
@@ -1458,7 +1519,9 @@
                 let allowed = (job.spec["Loaners"] == true || !w.spot)
                     && job.spec["Yard"].as_str().is_none_or(|z| z == w.zone)
                     && job.spec["Spread"] == false
-                    && job.spec["Together"] == false;
+                    && job.spec["Together"] == false
+                    // A gang needs room for all its tasks at once.
+                    && job.spec["Shape"] != "group";
                 w.up && w.alive && !w.sick && w.notice_until.is_none() && allowed && used + need <= self.site.cores
             };
             if self.workers.values().any(roomy) {
@@ -1603,16 +1666,20 @@
                     self.report_soon(machine);
                 }
             }
-            Event::Fetched(machine, session, attempt) => self.begin(machine, session, attempt),
-            Event::Ran(machine, session, attempt) => {
+            Event::Fetched(machine, session, key) => self.begin(machine, session, key),
+            Event::GatherTimeout(machine, session, key) => self.gather_timeout(machine, session, &key),
+            Event::GangDone(job, attempt) => self.gang_done(&job, attempt),
+            Event::GangSaved(machine, session, key) => self.gang_task_saved(machine, session, &key),
+            Event::Ran(machine, session, key) => {
                 let Some(w) = self.workers.get_mut(&machine) else { return };
                 if w.session != session || !w.alive {
                     return;
                 }
-                let Some(t) = w.tasks.get_mut(&attempt).filter(|t| t.state == TaskState::Running) else { return };
+                let Some(t) = w.tasks.get_mut(&key).filter(|t| t.state == TaskState::Running) else { return };
+                let fails = w.sick || self.failing.contains(job_of(&t.task));
                 t.state = TaskState::Exited;
-                t.cause = Some(if w.sick { "error" } else { "done" });
-                if !w.sick {
+                t.cause = Some(if fails { "error" } else { "done" });
+                if !fails {
                     self.finished.insert(t.task.clone());
                     w.done.insert(t.task.clone());
                 }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -1,8 +1,8 @@
 //! What the version in production wrote, and limits of the state service that are lowered: read and gone on with.
 //!
-//! `fixtures/production.json` was written by the commit that `deploy/service.toml` names as `production`: the keys of its state
-//! service in the middle of a simulated run (without the leader's, which ends with its lease), what its users had been told, and
-//! the bytes of its frames.
+//! `fixtures/production.json` was written by the commit that `deploy/service.toml` names as `production` (fab6b36): the keys of its
+//! state service in the middle of a simulated run (without the leader's, which ends with its lease), what its users had been told, and
+//! the bytes of its frames. `fixtures/production-1b55767.json` is the same of an earlier one, whose data must stay readable.
 
 mod support;
 
@@ -10,15 +10,22 @@
 use serde_json::{Value, json};
 use support::{Sim, Site};
 
-fn production() -> Value {
-    let path = format!("{}/tests/fixtures/production.json", env!("CARGO_MANIFEST_DIR"));
+const FIXTURES: [&str; 2] = ["production", "production-1b55767"];
+
+fn fixture(name: &str) -> Value {
+    let path = format!("{}/tests/fixtures/{name}.json", env!("CARGO_MANIFEST_DIR"));
     serde_json::from_str(&std::fs::read_to_string(path).expect("the fixture")).expect("JSON")
 }
 
 /// A leader of this version reads the log and the snapshot back: every job has the state that its user was told, and goes on.
 #[test]
 fn what_the_production_version_wrote_is_read() {
-    let fixture = production();
+    for name in FIXTURES {
+        read_back(&fixture(name));
+    }
+}
+
+fn read_back(fixture: &Value) {
     let mut sim = Sim::new(1);
     let keys = fixture["keys"].as_array().expect("keys");
     sim.state.restore(keys.iter().map(|k| {
@@ -53,14 +60,13 @@
         ("answer", Frame::Answer(7, answer)),
         ("leads", Frame::Leads(41, "n1".into())),
     ];
-    let fixture = production();
-    for (name, frame) in frames {
+    for (fixture, (name, frame)) in FIXTURES.iter().flat_map(|f| frames.iter().map(move |frame| (fixture(f), frame))) {
         let text = fixture["frames"][name].as_str().expect("hexadecimal");
         let bytes: Vec<u8> =
             (0..text.len()).step_by(2).map(|i| u8::from_str_radix(&text[i..i + 2], 16).expect("a byte")).collect();
         assert_eq!(frame.encode(), bytes, "{name}");
         let header = Frame::header(bytes[..HEADER_BYTES].try_into().expect("a header")).expect("a header");
-        assert_eq!(Frame::decode(&header, bytes[HEADER_BYTES..].to_vec()), Ok(frame), "{name}");
+        assert_eq!(Frame::decode(&header, bytes[HEADER_BYTES..].to_vec()), Ok(frame.clone()), "{name}");
     }
 }
 
@@ -71,6 +77,8 @@
     for seed in 0..4 {
         let before = Site { value_kb: 8.0, page: 1000, snapshot_every: 30, ..Site::small() };
         let mut sim = Sim::at(before.clone(), seed);
+        // Users that come while the leader key moves are sent away and come back one by one: no large value would be written.
+        sim.run_until(6000);
         let submit = |sim: &mut Sim, from: u64, every: u64| {
             for n in from..from + 60 {
                 let id = format!("job-{n:06}");
