--- a/benches/plan.rs
+++ b/benches/plan.rs
@@ -46,6 +46,7 @@
         deadline: Time(60_000 + seq * 1000),
         tied: false,
         gang: false,
+        pushes_aside: None,
     }
 }
 
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -21,7 +21,10 @@
 const FINE: u64 = 200;
 const COARSE: u64 = 2000;
 
-/// What pushing lower tasks aside costs a service; more than `FINE`, so that free room is preferred.
+/// Ranks that have lower ones.
+pub const PUSHING_RANKS: usize = 3;
+
+/// What pushing lower tasks aside costs a service or gang; more than `FINE`, so that free room is preferred.
 const PUSH_ASIDE: Span = Span(400);
 
 /// Where an entry stands in a queue: rank first, then the order of arrival.
@@ -54,6 +57,8 @@
     pub tied: bool,
     /// Whether all tasks of the job start at the same time.
     pub gang: bool,
+    /// The rank whose lower tasks may be stopped to make room for this one at once, if any may.
+    pub pushes_aside: Option<u8>,
 }
 
 /// A machine as the plan sees it.
@@ -76,8 +81,8 @@
     pub bias: (u64, u64),
     /// Room that is free now.
     pub free: Room,
-    /// Room of tasks that the most important services may push aside.
-    pub soft: Room,
+    /// Room of tasks that may be pushed aside, by the rank of what pushes them: the most important services, and gangs.
+    pub soft: [Room; PUSHING_RANKS],
     /// Room that running tasks are predicted to give back.
     pub releases: Vec<(Time, Room)>,
     /// Images that it holds, in order.
@@ -564,16 +569,22 @@
     let at = insert.map(|e| position(&server.queue, e.order));
     let mut run = |entry: &Entry, is_new: bool| {
         for _ in 0..if is_new { 1 } else { entry.count } {
-            if entry.endless && entry.order.rank == 0 && !entry.need.fits(&free) {
-                // Room is made for services at once, at the cost of lower tasks.
+            if let Some(rank) = entry.pushes_aside.map(usize::from).filter(|rank| *rank < PUSHING_RANKS)
+                && !entry.need.fits(&free)
+            {
+                // Room is made at once, at the cost of lower tasks.
                 let mut all = free;
-                all.add(&soft);
+                all.add(&soft[rank]);
                 if entry.need.fits(&all) {
                     let mut from_soft = entry.need;
                     from_soft.sub(&free);
                     free.sub(&entry.need);
-                    soft.sub(&from_soft);
-                    tell(entry, Some(clock + PUSH_ASIDE), is_new);
+                    soft.iter_mut().for_each(|room| room.sub(&from_soft));
+                    let start = clock + PUSH_ASIDE;
+                    if !entry.endless {
+                        heap.push(Reverse((start + entry.run, entry.need.cpus, entry.need.gpus, entry.need.memory)));
+                    }
+                    tell(entry, Some(start), is_new);
                     continue;
                 }
             }
--- a/src/plan/tests.rs
+++ b/src/plan/tests.rs
@@ -36,6 +36,7 @@
         deadline: Time(deadline * COARSE),
         tied: false,
         gang: false,
+        pushes_aside: None,
     }
 }
 
--- a/src/renting.rs
+++ b/src/renting.rs
@@ -180,7 +180,7 @@
 
     /// Free room of machines, the fullest first, so that others become idle.
     fn free_rooms(&self) -> Vec<FreeRoom> {
-        let room = |s: &Server| FreeRoom { machine: s.id, free: s.free, soft: s.soft };
+        let room = |s: &Server| FreeRoom { machine: s.id, free: s.free, soft: s.soft[0] };
         let mut rooms: Vec<FreeRoom> = self.plans.servers().map(room).collect();
         rooms.sort_by_key(|room| (room.free.cpus, room.machine));
         rooms
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -178,6 +178,8 @@
         deadline: job.deadline(),
         tied: job.record.together || job.record.spread,
         gang: job.gang.is_some(),
+        // By its own rank: a better one that it was given for its turn stops nobody.
+        pushes_aside: ((job.record.service && job.record.rank == 0) || job.gang.is_some()).then_some(job.record.rank),
     }
 }
 
@@ -265,6 +267,7 @@
         self.start_planned(now, &ids, &mut used);
         self.steal(now, &ids, &mut used);
         self.make_room(now);
+        self.make_room_for_gangs(now);
     }
 
     /// Starts what is planned next on a machine that has just shown a change, without waiting for a round.
@@ -328,11 +331,13 @@
                 return None;
             }
             let mut releases: Vec<(Time, Room)> = Vec::new();
-            let mut soft = Room::default();
+            let mut soft = [Room::default(); plan::PUSHING_RANKS];
             for hold in m.holds.values().filter(|h| h.occupies()) {
                 releases.extend(release(hold, now).map(|at| (at, hold.need)));
-                if pushable(hold, 0) {
-                    soft.add(&hold.need);
+                for (rank, room) in (0..).zip(&mut soft) {
+                    if pushable(hold, rank) {
+                        room.add(&hold.need);
+                    }
                 }
             }
             let free = m.free();
--- a/src/scheduling/gangs.rs
+++ b/src/scheduling/gangs.rs
@@ -1,5 +1,6 @@
 //! Gangs: planned, started, completed and stopped as a whole.
 
+use super::room::{Victim, room_soon, victims_needed};
 use super::*;
 use crate::gang;
 
@@ -69,6 +70,15 @@
         let predicted = slots.iter().filter_map(|(machine, _)| predicted(machine)).max();
         let machines: Vec<MachineId> =
             slots.iter().flat_map(|(machine, count)| (0..*count).map(move |_| *machine)).collect();
+        let cached = |(machine, _): &&(MachineId, u32)| {
+            self.machines.get(machine).is_some_and(|m| m.images.contains(&job.record.image))
+        };
+        debug!(
+            "gang starts {id} waited={}s machines={} cached={}",
+            now.since(job.submitted).as_secs(),
+            slots.len(),
+            slots.iter().filter(cached).count()
+        );
         let (promoted, rank) = (job.promoted(), job.record.rank);
         let attempt = self.next_attempt();
         self.plans.remove_job(id);
@@ -84,6 +94,45 @@
         }
     }
 
+    /// Stops lower tasks where a gang is planned that would have to wait for room, if that makes room for all of it.
+    pub(super) fn make_room_for_gangs(&mut self, now: Time) {
+        let mut stops = Vec::new();
+        // What is left on each machine after the gangs that are ahead.
+        let mut rooms: BTreeMap<MachineId, PressedMachine> = BTreeMap::new();
+        let waiting: Vec<JobId> = self.plans.waiting().map(|(_, job, _)| job).collect();
+        let gangs = waiting.into_iter().filter_map(|id| self.book.get(id)).filter(|job| job.gang.is_some());
+        for job in gangs.filter(|job| self.startable(job, now)) {
+            let id = job.record.id;
+            if self.plans.planned(id) != job.record.tasks {
+                continue;
+            }
+            let mut trial = Vec::new();
+            let mut complete = true;
+            for (machine, count) in self.plans.planned_at(id) {
+                let Some(m) = self.machines.get(&machine).filter(|m| m.usable()) else {
+                    complete = false;
+                    break;
+                };
+                let mut pressed = rooms.get(&machine).cloned().unwrap_or_else(|| PressedMachine {
+                    free: room_soon(m),
+                    victims: self.victims(m, now, job.record.rank),
+                });
+                pressed.victims.retain(|victim| victim.rank > job.record.rank);
+                let stopped = pressed.make_room(&job.record.need, count);
+                complete &= stopped.is_some();
+                trial.push((machine, pressed, stopped.unwrap_or_default()));
+            }
+            if !complete {
+                continue;
+            }
+            for (machine, pressed, stopped) in trial {
+                rooms.insert(machine, pressed);
+                stops.extend(stopped.into_iter().map(|key| (machine, key, id)));
+            }
+        }
+        self.preempt(stops);
+    }
+
     /// Does for each gang what its state asks for.
     pub(super) fn tend_gangs(&mut self, now: Time) {
         let gather_limit = self.settings.deployment.workers.gang_wait().times(GATHER_SHARE);
@@ -196,3 +245,27 @@
         self.dirty = true;
     }
 }
+
+/// A machine on which room is made.
+#[derive(Debug, Clone)]
+struct PressedMachine {
+    free: Room,
+    /// What may be stopped, least loss first.
+    victims: Vec<Victim>,
+}
+
+impl PressedMachine {
+    /// Takes room for so many tasks; what has to be stopped for it, or `None` if that is not enough.
+    fn make_room(&mut self, need: &Room, count: u32) -> Option<Vec<TaskAttempt>> {
+        let mut stopped = Vec::new();
+        for _ in 0..count {
+            let enough = victims_needed(need, self.free, &self.victims)?;
+            for victim in self.victims.drain(..enough) {
+                self.free.add(&victim.need);
+                stopped.push(victim.key);
+            }
+            self.free.sub(need);
+        }
+        Some(stopped)
+    }
+}
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -2,6 +2,37 @@
 
 use super::*;
 
+/// A task that may be stopped to make room.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Victim {
+    pub(super) key: TaskAttempt,
+    pub(super) need: Room,
+    /// Importance of its job, 0 first.
+    pub(super) rank: u8,
+    /// The work that it would lose.
+    pub(super) lost: Span,
+}
+
+/// Room of a machine once everything that was told to stop is gone.
+pub(super) fn room_soon(machine: &Machine) -> Room {
+    let mut free = machine.free();
+    for hold in machine.holds.values().filter(|h| h.occupies() && h.stop.is_some()) {
+        free.add(&hold.need);
+    }
+    free
+}
+
+/// How many of these victims, from the first on, have to be stopped so that `need` fits; `None`: all are not enough.
+pub(super) fn victims_needed(need: &Room, mut free: Room, victims: &[Victim]) -> Option<usize> {
+    for (count, victim) in victims.iter().enumerate() {
+        if need.fits(&free) {
+            return Some(count);
+        }
+        free.add(&victim.need);
+    }
+    need.fits(&free).then_some(victims.len())
+}
+
 impl Term {
     /// Stops tasks of lower priority where services are planned that would have to wait for room.
     ///
@@ -13,59 +44,48 @@
             self.plans.waiting().take_while(|(order, ..)| order.rank == 0).flat_map(|(.., at)| at).collect();
         for server in pressed.iter().filter_map(|id| self.plans.server(*id)) {
             let Some(machine) = self.machines.get(&server.id).filter(|m| m.usable()) else { continue };
-            let mut free = machine.free();
-            for hold in machine.holds.values().filter(|h| h.occupies() && h.stop.is_some()) {
-                free.add(&hold.need);
-            }
-            let mut victims: Option<Vec<(u64, TaskAttempt, Room)>> = None;
+            let mut free = room_soon(machine);
+            let mut victims: Option<Vec<Victim>> = None;
             for entry in server.queue.iter().filter(|e| e.endless && e.order.rank == 0) {
                 if !self.book.get(entry.job).is_some_and(|job| self.startable(job, now)) {
                     continue;
                 }
                 for _ in 0..entry.count {
-                    let victims = victims.get_or_insert_with(|| self.victims(machine, now));
-                    let mut room = free;
-                    let enough = victims.iter().position(|(_, _, need)| {
-                        let fits = entry.need.fits(&room);
-                        room.add(need);
-                        fits
-                    });
-                    let count = match enough {
-                        Some(count) => count,
-                        None if entry.need.fits(&room) => victims.len(),
-                        None => break,
-                    };
-                    for (_, attempt, need) in victims.drain(..count) {
-                        free.add(&need);
-                        stops.push((server.id, attempt, entry.job));
+                    let victims = victims.get_or_insert_with(|| self.victims(machine, now, 0));
+                    let Some(count) = victims_needed(&entry.need, free, victims) else { break };
+                    for victim in victims.drain(..count) {
+                        free.add(&victim.need);
+                        stops.push((server.id, victim.key, entry.job));
                     }
                     free.sub(&entry.need);
                 }
             }
         }
-        for (id, attempt, job) in stops {
-            let Some(machine) = self.machines.get(&id) else { continue };
-            if let Some(hold) = machine.holds.get(&attempt) {
-                info!("preempted {} machine={id} for={job}", hold.task);
-            }
-            self.stop(id, attempt, 0.0);
+        self.preempt(stops);
+    }
+
+    /// Stops tasks to make room for a job.
+    pub(super) fn preempt(&mut self, stops: Vec<(MachineId, TaskAttempt, JobId)>) {
+        for (id, key, job) in stops {
+            info!("preempted {} machine={id} for={job}", key.task);
+            self.stop(id, key, 0.0);
         }
     }
 
-    /// What may be stopped for a service on this machine, with the work it would lose, least first.
-    pub(super) fn victims(&self, machine: &Machine, now: Time) -> Vec<(u64, TaskAttempt, Room)> {
-        let mut victims: Vec<(u64, TaskAttempt, Room)> = machine
+    /// What may be stopped on this machine for a job of this rank, with the work it would lose, least first.
+    pub(super) fn victims(&self, machine: &Machine, now: Time, rank: u8) -> Vec<Victim> {
+        let mut victims: Vec<Victim> = machine
             .holds
             .iter()
-            .filter(|(_, h)| pushable(h, 0))
-            .map(|(a, h)| {
+            .filter(|(_, h)| pushable(h, rank))
+            .map(|(key, h)| {
                 let ran = h.running_since.map_or(Span(0), |r| now.since(r));
                 let every = self.book.get(h.task.job).map_or(0, |j| j.record.checkpoint.0);
-                let lost = if every > 0 { ran.0 % every } else { ran.0 };
-                (lost, *a, h.need)
+                let lost = if every > 0 { Span(ran.0 % every) } else { ran };
+                Victim { key: *key, need: h.need, rank: h.rank, lost }
             })
             .collect();
-        victims.sort_unstable_by_key(|v| v.0);
+        victims.sort_unstable_by_key(|v| v.lost);
         victims
     }
 
--- a/src/term.rs
+++ b/src/term.rs
@@ -14,7 +14,7 @@
 use crate::upgrade::Format;
 use crate::watching::LostZone;
 use crate::wire::{Cause, Report, ReportAnswer};
-use crate::workers::{self, Enrolment, Machine, Phase};
+use crate::workers::{self, Enrolment, Machine};
 use log::{debug, info, warn};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/src/term/reports.rs
+++ b/src/term/reports.rs
@@ -163,7 +163,7 @@
                 }
                 workers::Event::Image(image) => self.records.push(Record::Image(id, image)),
                 workers::Event::Found { key, ended } => self.found(now, id, key, ended),
-                workers::Event::Running(key) => self.task_runs(key),
+                workers::Event::Running(key) => self.task_runs(now, key),
                 workers::Event::Lost(task) => {
                     debug!("lost {task} machine={id}");
                     self.unplace(id, task);
--- a/src/term/tasks.rs
+++ b/src/term/tasks.rs
@@ -1,9 +1,9 @@
 //! What becomes of tasks: those found on machines, those that run, end, or are lost.
 
 use super::*;
-use crate::gang::Adoption;
+use crate::gang::{Adoption, Phase};
 use crate::intake::{Job, Placed};
-use crate::workers::Exit;
+use crate::workers::{Exit, Phase as TaskPhase};
 
 /// Machines on which a job fails before it is tried less and less often.
 const FAILED_ON_LIMIT: usize = 3;
@@ -26,7 +26,7 @@
         hold.image.clone_from(&job.record.image);
         hold.predicted = (!job.record.service).then_some(job.record.estimate);
         hold.gang = job.gang.is_some();
-        let running = hold.phase == Phase::Running;
+        let running = hold.phase == TaskPhase::Running;
         let adoption = job.gang.as_mut().map(|gang| gang.adopt(now, key.attempt, id, ended));
         let live = match adoption {
             None => true,
@@ -38,7 +38,7 @@
             job.placed.insert(task.index, Placed { machine: id, key, running });
             hold.claimed = true;
             hold.stop = None;
-            if hold.phase == Phase::Saving
+            if hold.phase == TaskPhase::Saving
                 && let Some(gang) = &mut job.gang
             {
                 // An earlier leader has begun to stop the gang: the others must be told in time, too.
@@ -71,12 +71,15 @@
     }
 
     /// A claimed attempt began to run.
-    pub(super) fn task_runs(&mut self, key: TaskAttempt) {
+    pub(super) fn task_runs(&mut self, now: Time, key: TaskAttempt) {
         let Some(job) = self.book.get_mut(key.task.job) else { return };
         if let Some(placed) = job.placed.get_mut(&key.task.index).filter(|p| p.key == key) {
             placed.running = true;
         }
         if let Some(gang) = &mut job.gang {
+            if let Phase::Gathering { since } = gang.phase {
+                debug!("gang runs {} attempt={} gathered={}s", key.task.job, key.attempt, now.since(since).as_secs());
+            }
             gang.task_runs(key.attempt);
         }
     }
