A gang is not planned one task after the other; old and new controllers side by side in tests

Found by the new tests of upgrades: a gang of three on machines with room for two stayed queued for ever, since the plan let its third task start in the room that its first would give back (red: a_node_that_never_comes_up_keeps_gangs_waiting, 30 s after the switch; and tasks_of_a_gang_do_not_wait_for_each_other). Room of a gang's tasks is now given back only to what is behind the gang.

--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -65,3 +65,15 @@
     let shown: Vec<_> = got.iter().map(|(p, n)| (p.1.as_str(), p.2, *n)).collect();
     assert_eq!(shown, [("a", false, 1), ("b", false, 1)]);
 }
+
+/// A gang that wants one zone: what is rented for it has room for all its tasks in the same one.
+#[test]
+fn tasks_that_must_be_together_are_bought_for_in_one_zone() {
+    let flavors = [crate::intake::tests::flavor()];
+    let gang = |job, count| Demand { count, zone_cap: u32::MAX, one_zone: true, ..replicas(job) };
+    let demands = [Demand { zone_cap: u32::MAX, count: 1, ..replicas(1) }, gang(2, 7), gang(3, 3)];
+    let got = choose(&demands, &flavors, &|_| false, &mut BTreeMap::new());
+    // The first takes one of four CPUs in `a`; seven do not fit beside it and go to `b`, where one is left; three go to `a`.
+    let shown: Vec<_> = got.iter().map(|(p, n)| (p.1.as_str(), *n)).collect();
+    assert_eq!(shown, [("a", 1), ("b", 2)]);
+}
--- a/src/leadership/tests.rs
+++ b/src/leadership/tests.rs
@@ -123,3 +123,74 @@
     n.reply(Time(30_001), id, &answer(404, json!({})), &mut out);
     assert_eq!(out, [Event::SteppedDown("lease lost")]);
 }
+
+/// A leader whose key is to move, with its request to move it on the way.
+fn moving() -> (Leadership, u64, Txn) {
+    let (mut n, mut out) = (leader(), Vec::new());
+    n.move_key();
+    n.tick(Time(2), &mut out);
+    let (id, call) = only_call(&mut out);
+    assert_eq!(call, StateCall::Renew(LeaseId(4)), "the lease is renewed first");
+    n.reply(Time(3), id, &answer(200, json!({})), &mut out);
+    match only_call(&mut out) {
+        (id, StateCall::Txn(txn)) => (n, id, txn),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn the_key_moves_in_one_transaction_and_its_leader_leads_on_in_a_new_term() {
+    let (mut n, id, txn) = moving();
+    let conditions: Vec<_> = txn.conditions.iter().map(|c| (c.key.as_str(), c.version)).collect();
+    assert_eq!(conditions, [("leader", 9), ("leader-2", 0)]);
+    let shown = serde_json::to_value(&txn.changes).unwrap();
+    let me = json!({"node": "n0", "incarnation": 7});
+    let left = json!({"Write": "leader", "V": {"moved_to": "leader-2"}});
+    assert_eq!(shown, json!([left, {"Write": "leader-2", "V": me, "Permit": 4}]));
+    let mut out = Vec::new();
+    n.reply(Time(6), id, &answer(200, json!({"Ledger": 12})), &mut out);
+    assert!(matches!(out[..], [Event::SteppedDown(_), Event::Elected(Token(12), Format::Two)]), "{out:?}");
+}
+
+/// The move is carried out and its answer lost: the next try fails, and the key tells that it hangs on the lease that is still held.
+#[test]
+fn a_move_whose_answer_is_lost_is_settled_by_reading_the_key() {
+    let (mut n, _, _) = moving();
+    let mut out = Vec::new();
+    n.tick(Time(1100), &mut out); // no answer
+    n.tick(Time(1300), &mut out);
+    let (id, call) = only_call(&mut out);
+    assert_eq!(call, StateCall::Renew(LeaseId(4)), "still a leader by its lease");
+    n.reply(Time(1302), id, &answer(200, json!({})), &mut out);
+    let (id, _) = only_call(&mut out);
+    n.reply(Time(1305), id, &answer(409, json!({"failed": ["leader", "leader-2"], "Ledger": 12})), &mut out);
+    assert_eq!(out.drain(..).collect::<Vec<_>>(), [Event::SteppedDown("the leader key has changed")]);
+    n.tick(Time(1306), &mut out);
+    let (id, _) = only_call(&mut out);
+    let left = json!({"K": "leader", "V": {"moved_to": "leader-2"}, "Stamp": 12});
+    n.reply(Time(1308), id, &answer(200, left), &mut out);
+    n.tick(Time(1309), &mut out);
+    let (id, call) = only_call(&mut out);
+    assert_eq!(call, StateCall::Get("leader-2".into()));
+    let key = json!({"K": "leader-2", "V": {"node": "n0", "incarnation": 7}, "Stamp": 12, "Permit": 4});
+    n.reply(Time(1311), id, &answer(200, key), &mut out);
+    let (id, _) = only_call(&mut out);
+    n.reply(Time(1313), id, &answer(200, json!({})), &mut out);
+    assert_eq!(out, [Event::Elected(Token(12), Format::Two)]);
+}
+
+/// Once it has read that the key has moved, a node contends for the new one only.
+#[test]
+fn a_node_that_reads_a_moved_key_contends_for_the_new_one() {
+    let (mut n, mut out) = (node("n1", 3), Vec::new());
+    n.tick(Time(0), &mut out);
+    let (id, _) = only_call(&mut out);
+    n.reply(Time(1), id, &answer(200, json!({"K": "leader", "V": {"moved_to": "leader-2"}, "Stamp": 12})), &mut out);
+    for body in [(404, json!({})), (200, json!({"Permit": 6}))] {
+        n.tick(Time(2), &mut out);
+        let id = n.in_flight.unwrap().id;
+        n.reply(Time(3), id, &answer(body.0, body.1), &mut out);
+    }
+    let StateCall::Txn(txn) = only_call(&mut out).1 else { panic!("no campaign") };
+    assert_eq!((txn.conditions[0].key.as_str(), txn.conditions[0].version), ("leader-2", 0));
+}
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -559,15 +559,30 @@
     late
 }
 
+/// Room that is given back at some time: CPUs, GPUs and memory.
+type Release = (Time, u64, u64, u64);
+
+fn release(at: Time, room: &Room) -> Release {
+    (at, room.cpus, room.gpus, room.memory)
+}
+
 /// Lets a machine's queue start in order as room frees and tells each task's start.
 fn walk(server: &Server, now: Time, insert: Option<&Entry>, mut tell: impl FnMut(&Entry, Option<Time>, bool)) {
     let mut free = server.free;
     let mut soft = server.soft;
     let mut clock = server.start_time(now);
-    let mut heap: BinaryHeap<Reverse<(Time, u64, u64, u64)>> =
-        server.releases.iter().map(|(at, room)| Reverse((*at, room.cpus, room.gpus, room.memory))).collect();
+    let mut heap: BinaryHeap<Reverse<Release>> =
+        server.releases.iter().map(|(at, room)| Reverse(release(*at, room))).collect();
     let at = insert.map(|e| position(&server.queue, e.order));
+    // A gang's tasks run at the same time, so that none starts in room that another one gives back. Without this a gang was planned
+    // one task after the other on a machine that never has room for all of them.
+    let mut gang_releases: Vec<Release> = Vec::new();
+    let mut last_gang: Option<JobId> = None;
     let mut run = |entry: &Entry, is_new: bool| {
+        if last_gang != Some(entry.job) {
+            heap.extend(gang_releases.drain(..).map(Reverse));
+            last_gang = entry.gang.then_some(entry.job);
+        }
         for _ in 0..if is_new { 1 } else { entry.count } {
             if let Some(rank) = entry.pushes_aside.map(usize::from).filter(|rank| *rank < PUSHING_RANKS)
                 && !entry.need.fits(&free)
@@ -581,8 +596,8 @@
                     free.sub(&entry.need);
                     soft.iter_mut().for_each(|room| room.sub(&from_soft));
                     let start = clock + PUSH_ASIDE;
-                    if !entry.endless {
-                        heap.push(Reverse((start + entry.run, entry.need.cpus, entry.need.gpus, entry.need.memory)));
+                    if entry.gang {
+                        gang_releases.push(release(start + entry.run, &entry.need));
                     }
                     tell(entry, Some(start), is_new);
                     continue;
@@ -599,8 +614,11 @@
                 continue;
             }
             free.sub(&entry.need);
-            if !entry.endless {
-                heap.push(Reverse((clock + entry.run, entry.need.cpus, entry.need.gpus, entry.need.memory)));
+            let ends = release(clock + entry.run, &entry.need);
+            if entry.gang {
+                gang_releases.push(ends);
+            } else if !entry.endless {
+                heap.push(Reverse(ends));
             }
             tell(entry, Some(clock), is_new);
         }
--- a/src/plan/tests.rs
+++ b/src/plan/tests.rs
@@ -112,3 +112,73 @@
     assert_eq!(c.percent, 150.0);
     assert_eq!(c.predict(Span(10)), Span(15));
 }
+
+/// Gangs: three zones of machines; a gang's tasks take a second each.
+struct Cluster {
+    /// Whether all tasks must be in one zone.
+    together: bool,
+}
+
+impl World for Cluster {
+    fn profile(&self, _: JobId) -> Option<Profile> {
+        let time = Span(10 * COARSE);
+        Some(Profile { kinds: vec![Some((time, time))], zone: None, spot: true, avoid: Vec::new(), image: 0 })
+    }
+    fn zones(&self, _: JobId, _: &BTreeMap<usize, u32>) -> Zones {
+        Zones { left: vec![u32::MAX; 3], together: self.together }
+    }
+}
+
+fn machine(id: u64, zone: usize, cpus: u64) -> Server {
+    Server { id: MachineId(id), zone, free: Room { cpus: cpus * 1000, gpus: 0, memory: 0 }, ..Server::default() }
+}
+
+fn gang(number: u64) -> Entry {
+    Entry { gang: true, tied: true, deadline: Time::NEVER, ..task(number, 5, 0) }
+}
+
+#[test]
+fn a_gang_is_planned_as_a_whole_or_not_at_all() {
+    for (together, sizes, placed) in
+        [(true, [2, 2, 2], false), (false, [2, 2, 2], true), (true, [2, 4, 2], true), (false, [1, 1, 1], false)]
+    {
+        let mut plans = Plans::default();
+        let machines = sizes.iter().enumerate().map(|(zone, cpus)| machine(zone as u64 + 1, zone, *cpus)).collect();
+        plans.admit(Time(0), machines);
+        let world = Cluster { together };
+        assert_eq!(plans.place_gang(Time(0), gang(1), 4, &world), placed, "{together} {sizes:?}");
+        assert_eq!(plans.planned(JobId(1)), if placed { 4 } else { 0 });
+        if together && placed {
+            assert_eq!(plans.planned_at(JobId(1)), [(MachineId(2), 4)]);
+        }
+    }
+}
+
+/// On a machine with room for two, a gang of three would have to wait for itself: it was planned there one task after the other.
+#[test]
+fn tasks_of_a_gang_do_not_wait_for_each_other() {
+    let mut plans = Plans::default();
+    plans.admit(Time(0), vec![machine(1, 0, 2)]);
+    assert!(!plans.place_gang(Time(0), gang(1), 3, &Cluster { together: false }));
+    // Behind what ends in time there is room for all at once.
+    let mut busy = machine(2, 0, 1);
+    busy.releases = vec![(Time(5000), Room { cpus: 2000, gpus: 0, memory: 0 })];
+    plans.admit(Time(0), vec![busy]);
+    plans.remove(MachineId(1));
+    assert!(plans.place_gang(Time(0), gang(1), 3, &Cluster { together: false }));
+    assert_eq!(plans.common_start(JobId(1), Time(0)), Some(Time(5000)));
+}
+
+/// Like the paper's best server: where fewest others are pushed past their deadline, then the soonest common end.
+#[test]
+fn a_gang_goes_where_it_pushes_fewest_past_their_deadline() {
+    let mut plans = Plans::default();
+    plans.admit(Time(0), vec![machine(1, 0, 2), machine(2, 1, 2)]);
+    // Low tasks with a deadline that holds only if they start at once, in the first zone.
+    for number in 5..7 {
+        let waits = Entry { run: Span(10 * COARSE), ..task(number, 1, 11) };
+        plans.add(MachineId(1), waits);
+    }
+    assert!(plans.place_gang(Time(0), gang(1), 2, &Cluster { together: true }));
+    assert_eq!(plans.planned_at(JobId(1)), [(MachineId(2), 2)]);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 mod gangs;
+pub mod old_node;
 
 use caperstile::controller::{Controller, Effect, Input, Origin, Slot};
 use caperstile::fleet::CloudCall;
@@ -382,6 +383,7 @@
     Heal(u64),
     GoOn(u64),
     Look(usize, String, UserCall),
+    OldTick(usize, u64),
 }
 
 impl Event {
@@ -513,6 +515,8 @@
     pub progress: BTreeMap<String, u64>,
     /// Attempts at gangs of which a task had its image.
     gathered: BTreeSet<(String, u64)>,
+    /// Controllers of the version in production.
+    pub old: BTreeMap<usize, old_node::OldNode>,
     /// Jobs that fail on every machine.
     pub failing: BTreeSet<String>,
     /// Tasks that gave up waiting for the rest of their gang.
@@ -584,6 +588,7 @@
             gangs: BTreeMap::new(),
             progress: BTreeMap::new(),
             gathered: BTreeSet::new(),
+            old: BTreeMap::new(),
             failing: BTreeSet::new(),
             incomplete: 0,
             cut_saves: 0,
@@ -629,6 +634,22 @@
         self.link(node, true, 30);
     }
 
+    /// Starts the version in production as this node, which must not run.
+    pub fn start_old(&mut self, node: usize) {
+        assert!(self.nodes[node].is_none(), "it runs");
+        self.epochs[node] += 1;
+        let incarnation = self.epochs[node] * 10 + node as u64;
+        self.old.insert(node, old_node::OldNode::new(node, incarnation));
+        self.after(1, Event::OldTick(node, self.epochs[node]));
+    }
+
+    /// Ends the version in production; it comes back as this version.
+    pub fn upgrade(&mut self, node: usize, after: u64) {
+        self.old.remove(&node);
+        self.epochs[node] += 1;
+        self.after(after, Event::Start(node));
+    }
+
     /// Tells a node and all others that can reach it that their links are up or down.
     fn link(&mut self, node: usize, up: bool, delay: u64) {
         for other in (0..self.site.nodes).filter(|o| *o != node) {
@@ -852,6 +873,29 @@
 
     /// Submits a job; `change` sets fields of a two-task batch job.
     pub fn submit(&mut self, id: &str, change: &[(&str, Value)]) {
+        let spec = self.enter(id, change);
+        self.after(0, Event::User(id.to_string(), UserCall::Submit(spec.to_string().into_bytes())));
+        self.after(1000, Event::Poll(id.to_string()));
+        if self.close_looks {
+            // Some ask before they were told that it is accepted: what is told then must last as well.
+            for node in 0..self.site.nodes {
+                let soon = 2 + self.chance(200);
+                self.after(soon, Event::Look(node, id.to_string(), UserCall::Get(id.to_string())));
+            }
+        }
+    }
+
+    /// A job that the stand-in of an old leader has accepted; its user asks for it from now on.
+    fn accepted_elsewhere(&mut self, id: &str) {
+        self.enter(id, &[("Pieces", json!(1)), ("Cores", json!(1.0)), ("RuntimeS", json!(2.0))]);
+        if let Some(job) = self.jobs.get_mut(id) {
+            (job.accepted, job.accepted_at) = (true, self.now);
+        }
+        self.after(1000, Event::Poll(id.to_string()));
+    }
+
+    /// Notes a job as its user knows it, and says how it is described.
+    fn enter(&mut self, id: &str, change: &[(&str, Value)]) -> Value {
         let mut spec = json!({"Ref": id, "Lane": "render", "Crew": "crew", "Shape": "batch", "Rank": "standard", "Pieces": 2,
             "Cores": 2.0, "Cards": 0.0, "MemoryGb": 4.0, "Reel": "img-1", "ImageGb": 1.0, "Together": false,
             "Spread": false, "Loaners": false, "RuntimeS": 10.0, "BookmarkS": 0.0, "StashS": 0.0});
@@ -872,15 +916,7 @@
             accepted_at: 0,
         };
         self.jobs.insert(id.to_string(), job);
-        self.after(0, Event::User(id.to_string(), UserCall::Submit(spec.to_string().into_bytes())));
-        self.after(1000, Event::Poll(id.to_string()));
-        if self.close_looks {
-            // Some ask before they were told that it is accepted: what is told then must last as well.
-            for node in 0..self.site.nodes {
-                let soon = 2 + self.chance(200);
-                self.after(soon, Event::Look(node, id.to_string(), UserCall::Get(id.to_string())));
-            }
-        }
+        spec
     }
 
     /// Submits a known job once more, as a late retry does.
@@ -1711,6 +1747,15 @@
             Event::Start(node) => self.start(node),
             Event::Heal(machine) => self.heal(machine),
             Event::GoOn(machine) => self.go_on(machine),
+            Event::OldTick(node, epoch) => {
+                if let Some(old) = self.old.get_mut(&node).filter(|_| self.epochs[node] == epoch) {
+                    old.tick(self.now, node, &mut self.state);
+                    for id in std::mem::take(&mut old.accepted) {
+                        self.accepted_elsewhere(&format!("job-{id:06}"));
+                    }
+                    self.after(50, Event::OldTick(node, epoch));
+                }
+            }
             Event::Look(node, id, call) => {
                 if self.nodes[node].is_some() {
                     self.ask_at(node, id, call);
