--- /dev/null
+++ b/tests/support/cloud.rs
@@ -0,0 +1,85 @@
+//! The cloud's stand-in: machine types, rentals, returns and the list.
+
+use super::*;
+
+impl Sim {
+    pub(super) fn cloud(&mut self, call: &CloudCall) -> (u16, Value) {
+        if self.cloud_down {
+            return (503, json!({"error": "trouble"}));
+        }
+        match call {
+            CloudCall::Flavors => (
+                200,
+                json!({"Builds": [{"Label": "small", "Cores": self.site.cores, "MemoryGb": self.site.memory_gb,
+                    "LocalGb": 70.0, "FetchGbPerS": 1.0, "Hourly": 0.26, "MarketPrice": 0.1,
+                    "BootS": self.site.boot_ms as f64 / 1000.0, "Yards": self.site.zones}]}),
+            ),
+            CloudCall::Rent(request) => {
+                if let Some(ids) = self.hires.get(&request.request) {
+                    return (200, json!({"Hosts": ids.iter().map(|i| MachineId(*i).to_string()).collect::<Vec<_>>()}));
+                }
+                let room = self.capacity.entry((request.zone.clone(), request.spot)).or_insert(0);
+                let count = request.count.min(*room);
+                if count == 0 {
+                    return (503, json!({"error": "no capacity"}));
+                }
+                *room -= count;
+                let mut ids = Vec::new();
+                for _ in 0..count {
+                    self.machines += 1;
+                    let id = self.machines;
+                    ids.push(id);
+                    self.workers.insert(
+                        id,
+                        Worker {
+                            zone: request.zone.clone(),
+                            spot: request.spot,
+                            session: 1,
+                            seq: 0,
+                            token: 0,
+                            tasks: BTreeMap::new(),
+                            images: BTreeSet::new(),
+                            done: BTreeSet::new(),
+                            node: 0,
+                            waiting: None,
+                            last_sent: 0,
+                            renewed: 0,
+                            notice_until: None,
+                            sick: false,
+                            hung: false,
+                            cut: self.cut_zones.contains(&request.zone),
+                            alive: true,
+                            up: false,
+                        },
+                    );
+                    self.after(self.site.boot_ms, Event::Boot(id));
+                }
+                self.hires.insert(request.request.clone(), ids.clone());
+                (200, json!({"Hosts": ids.iter().map(|i| MachineId(*i).to_string()).collect::<Vec<_>>()}))
+            }
+            CloudCall::Return(ids) => {
+                for id in ids {
+                    self.returned.entry(id.0).or_insert(self.now);
+                    if let Some(w) = self.workers.remove(&id.0) {
+                        *self.capacity.entry((w.zone, w.spot)).or_insert(0) += 1;
+                    }
+                    self.held.remove(&id.0);
+                    self.deaf.remove(&id.0);
+                    self.frozen.remove(&id.0);
+                }
+                (200, json!({}))
+            }
+            CloudCall::List(_) => {
+                let hosts: Vec<Value> = self
+                    .workers
+                    .iter()
+                    .map(|(id, w)| {
+                        json!({"Ref": MachineId(*id).to_string(), "Endpoint": "10.0.0.1:1", "Build": "small", "Yard": w.zone,
+                            "Loaners": w.spot, "Status": if w.up { "running" } else { "starting" }, "AgeS": 1.0})
+                    })
+                    .collect();
+                (200, json!({"Hosts": hosts, "More": false}))
+            }
+        }
+    }
+}
