--- a/src/records.rs
+++ b/src/records.rs
@@ -4,6 +4,8 @@
 //! that the leader key still has the revision at which this node won it and that the entry does
 //! not exist. One commit is in flight; a repeat or a late copy changes nothing.
 
+mod parts;
+
 use crate::intake::JobRecord;
 use crate::store::{Reply, StateCall, condition};
 use crate::units::{EntryNo, JobId, MachineId, Ranges, Revision, Span, TaskId, Time, Token, Wall};
@@ -67,6 +69,9 @@
     /// ids as differences from the one before.
     #[serde(rename = "f")]
     Finals(Vec<(u64, u32)>, Vec<u64>),
+    /// A part of a fact that is too large for a value (snapshots of format two only).
+    #[serde(rename = "p")]
+    Part(parts::Part),
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -150,6 +155,8 @@
     stamp: Option<Revision>,
     /// Keys that no reader needs any more.
     stray: Vec<String>,
+    /// Facts that are read in parts.
+    assembly: parts::Assembly,
     /// Chunks of the snapshot in force; the next one makes them stray.
     kept: Vec<String>,
     chunks: Vec<(String, serde_json::Value)>,
@@ -175,6 +182,8 @@
 pub const RANGES_LIMIT: usize = 60;
 /// Finished jobs in one fact, likewise.
 pub const FINALS_LIMIT: usize = 60;
+/// Bytes of a value around a single fact.
+const LIST_BYTES: usize = 2;
 /// Bytes of a transaction that are not values, generously.
 const OVERHEAD: usize = 2048;
 const TXN_BYTES: usize = 64 * 1024 - OVERHEAD;
@@ -210,6 +219,7 @@
             manifest: None,
             stamp: Some(Revision(0)),
             stray: Vec::new(),
+            assembly: parts::Assembly::default(),
             kept: Vec::new(),
             chunks: Vec::new(),
             next: EntryNo(1),
@@ -238,7 +248,7 @@
 
     /// Whether a fact can be kept: it must fit into one value.
     pub fn fits(&self, record: &Record) -> bool {
-        serde_json::to_string(record).is_ok_and(|text| text.len() + 2 <= self.value_bytes)
+        serde_json::to_string(record).is_ok_and(|text| text.len() + LIST_BYTES <= self.value_bytes)
     }
 
     /// Queues a fact for the next commit.
@@ -465,7 +475,7 @@
                         self.stray.push(kv.key);
                     } else {
                         self.since_snapshot += 1;
-                        tell(kv.value, out);
+                        self.tell(kv.value, out);
                     }
                 }
             }
@@ -480,7 +490,7 @@
             for (key, value) in std::mem::take(&mut self.chunks) {
                 match &kept {
                     Some(kept) if key.starts_with(kept.as_str()) => {
-                        tell(value, out);
+                        self.tell(value, out);
                         self.kept.push(key);
                     }
                     _ => self.stray.push(key),
@@ -500,6 +510,42 @@
         out.push(Event::LoadDone);
     }
 
+    fn tell(&mut self, value: serde_json::Value, out: &mut Vec<Event>) {
+        let records = match serde_json::from_value::<Vec<Record>>(value) {
+            Ok(records) => records,
+            Err(e) => return log::error!("a log entry cannot be read: {e}"),
+        };
+        for record in records {
+            let whole = match record {
+                Record::Part(part) => self.assembly.take(part),
+                record => Some(record),
+            };
+            out.extend(whole.map(Event::Loaded));
+        }
+    }
+
+    /// The facts of a snapshot, those that are too large for a value in parts; `None` if the version in production would have to read
+    /// parts: then the log goes on without a snapshot.
+    fn fitting(&self, facts: impl Iterator<Item = Record>) -> Option<Vec<serde_json::Value>> {
+        let mut values = Vec::new();
+        let mut large = 0;
+        for fact in facts {
+            let value = serde_json::to_value(&fact).unwrap_or_default();
+            let json = value.to_string();
+            if json.len() + LIST_BYTES <= self.value_bytes {
+                values.push(value);
+                continue;
+            }
+            if self.format < Format::Two {
+                return None;
+            }
+            let parts = parts::split(large, &json, self.value_bytes);
+            values.extend(parts.iter().map(|part| serde_json::to_value(part).unwrap_or_default()));
+            large += 1;
+        }
+        Some(values)
+    }
+
     /// Changes per transaction of a snapshot: few, so that commits are not held up.
     fn step_ops(&self) -> usize {
         self.txn_ops.min(8).min((self.refill as usize).saturating_sub(3).max(1))
@@ -508,13 +554,17 @@
     /// Writes a snapshot of the durable facts: chunks first, then the manifest, then the removal
     /// of what it covers. Cut off at any step, the state stays readable.
     pub fn begin_snapshot(&mut self, facts: impl Iterator<Item = Record>) {
+        let Some(values) = self.fitting(facts) else {
+            log::warn!("no snapshot: a fact is too large for the values that the state service will take");
+            self.since_snapshot = 0;
+            return;
+        };
         self.snapshots += 1;
         let generation = format!("{}-{}", self.token, self.snapshots);
         let covers = EntryNo(self.next.0 - 1);
         let mut chunks: Vec<Vec<serde_json::Value>> = Vec::new();
         let mut size = usize::MAX;
-        for fact in facts {
-            let value = serde_json::to_value(&fact).unwrap_or_default();
+        for value in values {
             let bytes = value.to_string().len() + 1;
             if size.saturating_add(bytes) > self.value_bytes {
                 chunks.push(Vec::new());
@@ -560,12 +610,5 @@
     keys.chunks(per_step).map(|keys| keys.iter().map(|key| Change::Delete { key: key.clone() }).collect()).collect()
 }
 
-fn tell(value: serde_json::Value, out: &mut Vec<Event>) {
-    match serde_json::from_value::<Vec<Record>>(value) {
-        Ok(records) => out.extend(records.into_iter().map(Event::Loaded)),
-        Err(e) => log::error!("a log entry cannot be read: {e}"),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/records/tests.rs
+++ b/src/records/tests.rs
@@ -71,3 +71,53 @@
     let Some(Event::Call(_, StateCall::Txn(again))) = out.pop() else { panic!("{out:?}") };
     assert_eq!(serde_json::to_string(&again).unwrap(), serde_json::to_string(&txn).unwrap(), "repeated as it was");
 }
+
+/// A job as it may be stored from a time of larger values: 13 KiB, with characters that are escaped.
+fn large_job() -> Record {
+    let mut body = crate::intake::tests::submission("job-000007");
+    body["Builds"] = (0..64).map(|n| format!("\"{n}\u{e9}\\{}", "x".repeat(190))).collect::<Vec<_>>().into();
+    Record::Job(crate::intake::parse_job(body.to_string().as_bytes(), Wall(3)).unwrap())
+}
+
+/// A leader with an empty log that writes values of 2 KiB at the most.
+fn lowered(format: Format) -> Records {
+    let limits = StateLimits { rps: 400.0, write_rps: 500.0, value_kb: 2.0, txn_ops: 24, next: None };
+    let (mut records, mut out) = (Records::new(Token(5), format, Time(0), &limits, &Tuning::default()), Vec::new());
+    records.start(Time(0), &mut out);
+    for id in 1..=2 {
+        records.reply(Time(1), id, &answer(200, json!({"Pairs": [], "More": false, "Ledger": 5})), &mut out);
+    }
+    records
+}
+
+#[test]
+fn a_job_that_is_too_large_for_lowered_values_is_kept_in_parts() {
+    let facts = [Record::Cancelled(JobId(1)), large_job(), Record::Learnt(90.0, 3)];
+    let mut records = lowered(Format::Two);
+    records.begin_snapshot(facts.clone().into_iter());
+    // All that the snapshot writes, as the next leader reads it.
+    let mut pairs = Vec::new();
+    for change in records.snapshot.as_ref().unwrap().steps.iter().flatten() {
+        let Change::Put { key, value, .. } = change else { continue };
+        assert!(value.to_string().len() <= 2048, "{key} has {} bytes", value.to_string().len());
+        pairs.push(json!({"K": key, "V": value, "Stamp": 6}));
+    }
+    let (mut next, mut out) = (lowered(Format::Two), Vec::new());
+    (next.loaded, next.in_flight) = (false, Vec::new());
+    next.start(Time(5), &mut out);
+    let id = next.calls;
+    next.reply(Time(6), id, &answer(200, json!({"Pairs": pairs, "More": false, "Ledger": 7})), &mut out);
+    let read: Vec<&Record> = out.iter().filter_map(|e| if let Event::Loaded(r) = e { Some(r) } else { None }).collect();
+    assert_eq!(read, facts.iter().collect::<Vec<_>>());
+}
+
+/// The version in production would drop a chunk with parts, so nothing is rewritten while it may lead; the log stays as it is.
+#[test]
+fn nothing_is_written_in_parts_while_the_previous_version_may_read_it() {
+    let mut records = lowered(Format::One);
+    records.since_snapshot = 500;
+    records.begin_snapshot([large_job()].into_iter());
+    assert!(records.snapshot.is_none() && !records.wants_snapshot());
+    records.begin_snapshot([Record::Cancelled(JobId(1))].into_iter());
+    assert!(records.snapshot.is_some());
+}
