--- a/src/intake/tests.rs
+++ b/src/intake/tests.rs
@@ -1,4 +1,9 @@
+use super::submission::GANGS_AFTER;
 use super::*;
+use crate::records::Record;
+use crate::units::{JobId, Ranges, Time, Wall};
+use crate::wire::Flavor;
+use serde_json::{Value, json};
 
 /// A submission, for tests everywhere.
 pub(crate) fn submission(id: &str) -> Value {
--- /dev/null
+++ b/src/plan/correction.rs
@@ -0,0 +1,36 @@
+//! Algorithm 2 of the paper: the error ratio that estimates are scaled by.
+
+use crate::units::Span;
+
+/// CorrecFAST: the average of actual over predicted time, in percent (Algorithm 2).
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Correction {
+    /// The value in percent.
+    pub percent: f64,
+    /// Executions seen.
+    pub executions: u64,
+}
+
+impl Default for Correction {
+    fn default() -> Self {
+        Correction { percent: 100.0, executions: 0 }
+    }
+}
+
+impl Correction {
+    /// The next prediction: the estimate scaled by what was learnt.
+    pub fn predict(&self, estimate: Span) -> Span {
+        estimate.times(self.percent / 100.0)
+    }
+
+    /// Learns from an execution that was predicted to take `predicted`.
+    pub fn learn(&mut self, actual: Span, predicted: Span) {
+        if predicted.0 == 0 {
+            return;
+        }
+        let n = self.executions as f64;
+        let ratio = 100.0 * actual.0 as f64 / predicted.0 as f64;
+        self.percent = (n * self.percent + ratio) / (n + 1.0);
+        self.executions += 1;
+    }
+}
--- /dev/null
+++ b/src/plan/simulation.rs
@@ -0,0 +1,154 @@
+//! What a machine's queue is predicted to do: when each task starts as room is given back, and what inserting another one changes.
+
+use super::*;
+
+/// What inserting a task would do to a machine's plan.
+pub(super) struct Outcome {
+    pub(super) finish: Time,
+    /// Tasks that it pushes past their deadline.
+    pub(super) pushed: u32,
+}
+
+pub(super) fn outcome(server: &Server, now: Time, task: Entry) -> Option<Outcome> {
+    if server.waiting >= QUEUE_LIMIT {
+        return None;
+    }
+    if server.queue.is_empty() && task.need.fits(&task.room_in(&server.free, &server.kept)) {
+        // Most machines, most of the time: nothing to simulate.
+        return Some(Outcome { finish: server.start_time(now) + task.run, pushed: 0 });
+    }
+    let after = simulate(server, now, Some(&task));
+    let before = if after.late > 0 { simulate(server, now, None).late } else { 0 };
+    after.finish.map(|finish| Outcome { finish, pushed: after.late.saturating_sub(before) })
+}
+
+impl Server {
+    /// When it could start something, given the room.
+    pub(super) fn start_time(&self, now: Time) -> Time {
+        self.ready.max(now + self.slack)
+    }
+}
+
+pub(super) fn position(queue: &[Entry], order: Order) -> usize {
+    queue.partition_point(|e| e.order <= order)
+}
+
+pub(super) struct Simulated {
+    finish: Option<Time>,
+    late: u32,
+}
+
+pub(super) fn simulate(server: &Server, now: Time, insert: Option<&Entry>) -> Simulated {
+    let mut result = Simulated { finish: None, late: 0 };
+    if insert.is_none() && server.queue.iter().all(|e| e.deadline == Time::NEVER) {
+        return result;
+    }
+    walk(server, now, insert, |entry, start, is_new| {
+        let finish = start.map(|s| s + entry.run);
+        if is_new {
+            result.finish = finish;
+        } else if entry.deadline != Time::NEVER && finish.is_none_or(|f| f > entry.deadline) {
+            result.late += 1;
+        }
+    });
+    result
+}
+
+pub(super) fn late_by_entry(server: &Server, now: Time) -> Vec<(JobId, u32)> {
+    let mut late: Vec<(JobId, u32)> = Vec::new();
+    walk(server, now, None, |entry, start, _| {
+        if entry.deadline != Time::NEVER && start.is_none_or(|s| s + entry.run > entry.deadline) {
+            match late.iter_mut().find(|(job, _)| *job == entry.job) {
+                Some((_, n)) => *n += 1,
+                None => late.push((entry.job, 1)),
+            }
+        }
+    });
+    late
+}
+
+/// Room that is given back at some time: CPUs, GPUs and memory.
+pub(super) type Release = (Time, u64, u64, u64);
+
+pub(super) fn release(at: Time, room: &Room) -> Release {
+    (at, room.cpus, room.gpus, room.memory)
+}
+
+/// Lets a machine's queue start in order as room frees and tells each task's start.
+pub(super) fn walk(
+    server: &Server,
+    now: Time,
+    insert: Option<&Entry>,
+    mut tell: impl FnMut(&Entry, Option<Time>, bool),
+) {
+    let mut free = server.free;
+    let mut kept = server.kept;
+    let mut soft = server.soft;
+    let mut clock = server.start_time(now);
+    let mut heap: BinaryHeap<Reverse<Release>> =
+        server.releases.iter().map(|(at, room)| Reverse(release(*at, room))).collect();
+    let at = insert.map(|e| position(&server.queue, e.order));
+    // A gang's tasks run at the same time, so that none starts in room that another one gives back. Without this a gang was planned
+    // one task after the other on a machine that never has room for all of them.
+    let mut gang_releases: Vec<Release> = Vec::new();
+    let mut last_gang: Option<JobId> = None;
+    let mut run = |entry: &Entry, is_new: bool| {
+        if last_gang != Some(entry.job) {
+            heap.extend(gang_releases.drain(..).map(Reverse));
+            last_gang = entry.gang.then_some(entry.job);
+        }
+        for _ in 0..if is_new { 1 } else { entry.count } {
+            if let Some(rank) = entry.pushes_aside.map(usize::from).filter(|rank| *rank < PUSHING_RANKS)
+                && !entry.need.fits(&free)
+            {
+                // Room is made at once, at the cost of lower tasks.
+                let mut all = free;
+                all.add(&soft[rank]);
+                if entry.need.fits(&all) {
+                    let mut from_soft = entry.need;
+                    from_soft.sub(&free);
+                    free.sub(&entry.need);
+                    soft.iter_mut().for_each(|room| room.sub(&from_soft));
+                    let start = clock + PUSH_ASIDE;
+                    if entry.gang {
+                        gang_releases.push(release(start + entry.run, &entry.need));
+                    }
+                    tell(entry, Some(start), is_new);
+                    continue;
+                }
+            }
+            while !entry.need.fits(&entry.room_in(&free, &kept)) {
+                let Some(Reverse(release)) = heap.pop() else { break };
+                clock = clock.max(release.0);
+                free.add(&Room { cpus: release.1, gpus: release.2, memory: release.3 });
+            }
+            if !entry.need.fits(&entry.room_in(&free, &kept)) {
+                // Endless tasks hold the room: what comes behind need not wait for this entry.
+                tell(entry, None, is_new);
+                continue;
+            }
+            free.sub(&entry.need);
+            if entry.takes_kept {
+                kept.sub(&entry.need);
+            }
+            let ends = release(clock + entry.run, &entry.need);
+            if entry.gang {
+                gang_releases.push(ends);
+            } else if !entry.endless {
+                heap.push(Reverse(ends));
+            }
+            tell(entry, Some(clock), is_new);
+        }
+    };
+    for (i, entry) in server.queue.iter().enumerate() {
+        if at == Some(i) {
+            run(insert.expect("position comes from it"), true);
+        }
+        run(entry, false);
+    }
+    if let (Some(at), Some(entry)) = (at, insert)
+        && at == server.queue.len()
+    {
+        run(entry, true);
+    }
+}
