--- a/benches/plan.rs
+++ b/benches/plan.rs
@@ -1,9 +1,9 @@
 //! What a plan costs: a controller has a tenth of a core. `cargo bench` compares with the last run.
 
-use caperstile::intake::{JobBook, parse_job};
+use caperstile::intake::{JobStore, parse_job};
 use caperstile::plan::{Entry, Order, Plans, Profile, Server, World, Zones};
 use caperstile::records::Record;
-use caperstile::units::{JobId, MachineId, Room, Span, Time, Wall};
+use caperstile::units::{Duration, JobId, MachineId, Resources, Time, Wall};
 use criterion::{Bencher, Criterion, criterion_group, criterion_main};
 use std::collections::BTreeMap;
 use std::hint::black_box;
@@ -12,7 +12,7 @@
 
 impl World for Like {
     fn profile(&self, _: JobId) -> Option<Profile> {
-        let kinds = vec![Some((Span(30_000), Span(34_000)))];
+        let kinds = vec![Some((Duration(30_000), Duration(34_000)))];
         Some(Profile { kinds, zone: None, spot: true, avoid: Vec::new(), image: 1 })
     }
     fn zones(&self, _: JobId, _: &BTreeMap<usize, u32>) -> Zones {
@@ -23,7 +23,7 @@
 /// Machines of 32 CPUs, each with tasks that end one by one.
 fn machines(count: u64, busy: u64) -> Plans {
     let mut plans = Plans::default();
-    let room = |tasks: u64| Room { cpus: 2000 * tasks, gpus: 0, memory: 6000 * tasks };
+    let room = |tasks: u64| Resources { cpus: 2000 * tasks, gpus: 0, memory: 6000 * tasks };
     let server = |id: u64| Server {
         id: MachineId(id),
         free: room(16 - busy),
@@ -40,11 +40,11 @@
         job: JobId(seq),
         order: Order { rank: 1 + (seq % 3) as u8, seq },
         count: 1,
-        need: Room { cpus: 2000, gpus: 0, memory: 6000 },
-        run: Span(0),
+        need: Resources { cpus: 2000, gpus: 0, memory: 6000 },
+        run: Duration(0),
         endless: false,
         deadline: Time(60_000 + seq * 1000),
-        tied: false,
+        constrained: false,
         gang: false,
         pushes_aside: None,
         takes_kept: false,
@@ -97,7 +97,7 @@
         "Cores":8.0,"Cards":1.0,"MemoryGb":64.0,"Reel":"img-07","ImageGb":6.2,"Builds":["g8"],"Yard":null,"Together":true,
         "Spread":false,"Loaners":true,"RuntimeS":240.0,"BookmarkS":30.0,"StashS":4.0,"DueS":900.0}"#;
     c.bench_function("a submission's form", |b| b.iter(|| black_box(parse_job(body, Wall(0)).is_ok())));
-    let mut book = JobBook::default();
+    let mut book = JobStore::default();
     book.apply(&Record::Finals((0..10_000).map(|_| (1, 3)).collect(), vec![]), Time(0), Wall(0));
     c.bench_function("a poll of a job that is over", |b| b.iter(|| black_box(book.state(JobId(5000)))));
 }
--- a/src/arrivals.rs
+++ b/src/arrivals.rs
@@ -1,12 +1,12 @@
 //! How often jobs of each class come, so that room can be kept for those that must start at once.
 
 use crate::intake::JobRecord;
-use crate::units::{Span, Time};
+use crate::units::{Duration, Time};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 /// What is older says nothing of the next minute.
-const WINDOW: Span = Span(120_000);
+const WINDOW: Duration = Duration(120_000);
 /// Jobs remembered of one class.
 const REMEMBERED: usize = 256;
 
@@ -33,7 +33,7 @@
     }
 
     /// Tasks that are likely to come within this time.
-    pub fn expected_tasks(&self, now: Time, within: Span) -> f64 {
+    pub fn expected_tasks(&self, now: Time, within: Duration) -> f64 {
         let window = now.since(self.since).0.clamp(within.0.max(1), WINDOW.0.max(within.0));
         let recent = self.lately.iter().filter(|a| now.since(a.at).0 < window);
         let tasks: u64 = recent.map(|a| u64::from(a.tasks)).sum();
--- a/src/arrivals/tests.rs
+++ b/src/arrivals/tests.rs
@@ -18,9 +18,9 @@
     let (name, class) = arrivals.classes().next().unwrap();
     assert_eq!((name, class.largest().tasks), ("train", 4));
     // 36 tasks in a minute.
-    let expected = class.expected_tasks(Time(60_000), Span(20_000));
+    let expected = class.expected_tasks(Time(60_000), Duration(20_000));
     assert!((11.0..13.5).contains(&expected), "{expected}");
-    assert_eq!(class.expected_tasks(Time(400_000), Span(20_000)), 0.0);
+    assert_eq!(class.expected_tasks(Time(400_000), Duration(20_000)), 0.0);
 }
 
 /// The first job of a class says little of how often they come: it is taken for one within the time that is asked about.
@@ -29,5 +29,5 @@
     let mut arrivals = Arrivals::default();
     arrivals.note(Time(1000), &record("train", 3));
     let (_, class) = arrivals.classes().next().unwrap();
-    assert_eq!(class.expected_tasks(Time(1100), Span(20_000)), 3.0);
+    assert_eq!(class.expected_tasks(Time(1100), Duration(20_000)), 3.0);
 }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -2,14 +2,14 @@
 //!
 //! No I/O and no clocks here: `now` and `wall` come with every input.
 
-use crate::fleet::CloudCall;
 use crate::intake::JobRecord;
+use crate::inventory::CloudCall;
 use crate::leadership::{self, Leadership};
 use crate::peers::{Answer, UserCall};
 use crate::settings::{Seed, Settings};
 use crate::store::{Reply, StateCall};
 use crate::term::{Over, Term};
-use crate::units::{MachineId, Span, Time, Token, Wall};
+use crate::units::{Duration, MachineId, Time, Token, Wall};
 use crate::upgrade::{self, Format, Upgrade};
 use crate::wire::{Commands, Report};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -42,7 +42,7 @@
     /// Time passes.
     Tick,
     /// So long inputs wait before they are taken; said when it changes.
-    Behind(Span),
+    Behind(Duration),
     /// A user asks, here or through another node.
     User(Origin, UserCall),
     /// A worker reports.
@@ -107,20 +107,20 @@
 }
 
 /// How long a user's request waits for a leader before it is told to come back.
-const PATIENCE: Span = Span(1200);
+const PATIENCE: Duration = Duration(1200);
 /// How long the leader may take over a forwarded request.
-const FORWARD_TIMEOUT: Span = Span(3500);
+const FORWARD_TIMEOUT: Duration = Duration(3500);
 const PARKED_LIMIT: usize = 400;
 /// A follower that cannot reach the leader for so long cannot take requests.
-const CUT_OFF: Span = Span(2500);
+const CUT_OFF: Duration = Duration(2500);
 /// Without an answer of the state service for so long, it is down or out of reach.
-const NO_STATE: Span = Span(1500);
+const NO_STATE: Duration = Duration(1500);
 /// How often a leader tells the other nodes so.
-const ANNOUNCE_EVERY: Span = Span(1000);
+const ANNOUNCE_EVERY: Duration = Duration(1000);
 /// A node that led so lately may still answer the workers of a zone that is cut off.
-const LED_LATELY: Span = Span(90_000);
+const LED_LATELY: Duration = Duration(90_000);
 /// A node makes room for others no more often: if no node reaches the workers, they are gone.
-const MAKES_ROOM_EVERY: Span = Span(60_000);
+const MAKES_ROOM_EVERY: Duration = Duration(60_000);
 
 /// A node.
 pub struct Controller {
@@ -367,12 +367,12 @@
 
     /// Whether this node has neither the state service nor any other node: unlike in an outage, others
     /// most likely go on without it, and what it knows may be outdated.
-    fn cornered(&self, now: Time) -> bool {
+    fn isolated(&self, now: Time) -> bool {
         !self.settings.seeds.is_empty() && self.links.is_empty() && !self.state_answers(now)
     }
 
     fn up(&self, now: Time) -> Answer {
-        if self.ready && !self.cornered(now) && now.since(self.reachable) < CUT_OFF {
+        if self.ready && !self.isolated(now) && now.since(self.reachable) < CUT_OFF {
             Answer { status: 200, retry_after: 0, body: "{}".into() }
         } else {
             unavailable("not ready")
@@ -396,7 +396,7 @@
             self.forwards.insert(id, Forward { origin, call, until: now + FORWARD_TIMEOUT, node: leader });
             return;
         }
-        if now >= until || self.parked.len() >= PARKED_LIMIT || !self.ready || self.cornered(now) {
+        if now >= until || self.parked.len() >= PARKED_LIMIT || !self.ready || self.isolated(now) {
             out.push(Effect::Answer(origin, unavailable("no leader")));
         } else {
             self.parked.push_back(Parked { origin, call, until });
--- a/src/watching.rs
+++ b/src/failure_detection.rs
@@ -2,17 +2,17 @@
 
 use crate::controller::Effect;
 use crate::term::{COMMAND_TIMEOUT, Over, Term};
-use crate::units::{MachineId, Span, Time};
+use crate::units::{Duration, MachineId, Time};
 use crate::wire::Commands;
 use crate::workers::{self, Flight, Machine};
 use log::{info, warn};
 use std::collections::{BTreeSet, HashMap};
 
 /// So long the machines of a zone that is cut off are kept.
-const KEEP_ZONE: Span = Span(60_000);
+const KEEP_ZONE: Duration = Duration(60_000);
 
 /// A zone that was not seen to be out of reach for so long is back.
-const ZONE_IS_BACK: Span = Span(3000);
+const ZONE_IS_BACK: Duration = Duration(3000);
 /// Fewer machines say nothing of a zone, or of this node.
 const FEW: usize = 4;
 
@@ -36,7 +36,7 @@
     /// Notes that this node reaches workers, if it does.
     pub(crate) fn heard_of(&mut self, now: Time, id: MachineId) {
         if self.machines.get(&id).is_some_and(|m| m.reached == now && m.fenced) {
-            self.unheard = Span(0);
+            self.silent_for = Duration(0);
             self.reaches = true;
         }
     }
@@ -48,11 +48,11 @@
         if counted().nth(FEW - 1).is_none() {
             // Without workers there is no silence: the first ones that came up together ended a term that had waited
             // for them.
-            self.unheard = Span(0);
+            self.silent_for = Duration(0);
             return;
         }
         let times = &self.settings.deployment.workers;
-        if self.unheard < times.silence(usize::MAX) {
+        if self.silent_for < times.silence(usize::MAX) {
             // No number of workers makes this a silence: they need not be counted, twenty times a second.
             return;
         }
@@ -61,9 +61,9 @@
             times.silence(counted().count())
         } else {
             // Two direct commands to each were not answered.
-            COMMAND_TIMEOUT + COMMAND_TIMEOUT + Span(500)
+            COMMAND_TIMEOUT + COMMAND_TIMEOUT + Duration(500)
         };
-        if self.unheard >= limit {
+        if self.silent_for >= limit {
             self.over = Some(Over::NoWorkers);
         }
     }
@@ -71,34 +71,34 @@
     /// Looks after silent, late and drained machines.
     pub(crate) fn watch(&mut self, now: Time, certain: bool, out: &mut Vec<Effect>) {
         let times = &self.settings.deployment.workers;
-        let overdue = Span::secs(times.report_s * 1.25 + 0.5);
-        let patience = Span::secs(times.report_s * 1.25 + 1.5);
+        let overdue = Duration::secs(times.report_s * 1.25 + 0.5);
+        let patience = Duration::secs(times.report_s * 1.25 + 1.5);
         // A worker's clock may run slow by as much as ours runs fast, and a process may be late.
-        let lease_over = Span::secs(times.lease_s * 1.002 + 1.5);
+        let lease_over = Duration::secs(times.lease_s * 1.002 + 1.5);
         let unreached = |m: &Machine| now.since(m.reached) >= overdue;
         // If most machines are out of reach at once, and not because of a zone, it is this node that is cut off.
         let cut_off = self.look_for_zones(now, &unreached);
         let unfenced_zones = self.unfenced_zones();
-        let mute_zones = self.mute_zones();
+        let unanswering_zones = self.unanswering_zones();
         let mut events = Vec::new();
         let mut give_back: Vec<(MachineId, &'static str)> = Vec::new();
         let mut probes: Vec<(Time, MachineId)> = Vec::new();
         let mut probing = 0;
         for (id, m) in &mut self.machines {
             if let Some(flight) = m.flight
-                && now.since(flight.sent) > COMMAND_TIMEOUT + Span(500)
+                && now.since(flight.sent) > COMMAND_TIMEOUT + Duration(500)
             {
                 m.command_over(now, flight.id, false);
             }
             if unreached(m) || m.unanswered > 0 {
                 probing += usize::from(m.flight.is_some());
-                if m.flight.is_none() && now.since(m.probed) >= Span(800) {
+                if m.flight.is_none() && now.since(m.probed) >= Duration(800) {
                     probes.push((m.probed, *id));
                 }
             }
             // One that does not answer a new leader, while the others of its zone did, holds older jobs back. While
             // others still come in it may be this process that is late.
-            let alone = !m.fenced && !unfenced_zones.contains(&m.record.zone) && now.since(self.wave) >= Span(1000);
+            let alone = !m.fenced && !unfenced_zones.contains(&m.record.zone) && now.since(self.wave) >= Duration(1000);
             if unreached(m) || alone {
                 self.changed.insert(*id);
                 // A machine that takes nothing in renews no lease, whatever it reports; but that an
@@ -123,7 +123,7 @@
                 };
                 // A zone of which nothing has answered a new leader is out of reach: to ask each of its machines twice
                 // took ten seconds, in which no older job was started.
-                let mute = !m.fenced && mute_zones.contains(&m.record.zone);
+                let mute = !m.fenced && unanswering_zones.contains(&m.record.zone);
                 let limit = match (alone || mute, cut_off) {
                     (true, _) => COMMAND_TIMEOUT + COMMAND_TIMEOUT,
                     (false, true) => lease_over,
@@ -153,9 +153,9 @@
                     m.draining.get_or_insert(why);
                 }
                 self.plans.remove(id);
-                self.fleet.give_back(id, why);
+                self.inventory.give_back(id, why);
             }
-            self.fleet.give_up_on_late(now);
+            self.inventory.give_up_on_late(now);
         }
         // What does not answer gets no more than half of the commands: when many machines fell silent together,
         // the others' starts waited behind theirs.
@@ -182,7 +182,7 @@
     }
 
     /// Zones of which no machine has answered this leader, several of them not twice, while most others have.
-    fn mute_zones(&self) -> BTreeSet<String> {
+    fn unanswering_zones(&self) -> BTreeSet<String> {
         let mut zones: HashMap<&str, usize> = HashMap::new();
         let unfenced = self.unfenced.len();
         if unfenced == 0 || unfenced * 2 > self.machines.len() {
@@ -222,7 +222,7 @@
         // A single machine that is reached again shows that the zone is back: without this nothing was rented there
         // for 40 s more, and replicas that may run nowhere else waited.
         let back = |zone: &String, lost: &LostZone| {
-            zones.get(zone.as_str()).is_some_and(|z| z.last.since(lost.seen) > Span(250))
+            zones.get(zone.as_str()).is_some_and(|z| z.last.since(lost.seen) > Duration(250))
         };
         self.lost_zones.retain(|zone, lost| !back(zone, lost));
         let known = zones.len();
--- a/src/watching/tests.rs
+++ b/src/failure_detection/tests.rs
@@ -1,22 +1,22 @@
 use super::*;
 use crate::records::MachineRecord;
 use crate::settings::{Settings, tests::SAMPLE};
-use crate::units::{Room, Token, Wall};
+use crate::units::{Resources, Token, Wall};
 use crate::workers::Enrolment;
 
 #[test]
 fn silence_counts_only_while_there_are_workers() {
     let mut term = Term::new(Token(5), crate::upgrade::Format::One, Time::START, &Settings::parse(SAMPLE).unwrap());
-    term.unheard = Span(25_000);
+    term.silent_for = Duration(25_000);
     term.look_for_workers();
     for n in 1..=4 {
         let (kind, zone, endpoint) = ("big".to_string(), "a".to_string(), String::new());
         let record = MachineRecord { id: MachineId(n), endpoint, kind, zone, spot: false, at: Wall(0) };
-        term.machines.insert(MachineId(n), Machine::new(record, Room::default(), Enrolment::None, Time::START));
+        term.machines.insert(MachineId(n), Machine::new(record, Resources::default(), Enrolment::None, Time::START));
     }
     term.look_for_workers();
     assert_eq!(term.over(), None, "they have just come up");
-    term.unheard = Span(3600);
+    term.silent_for = Duration(3600);
     term.look_for_workers();
     assert_eq!(term.over(), Some(Over::NoWorkers));
 }
--- a/src/gang.rs
+++ b/src/gang.rs
@@ -10,7 +10,7 @@
 //! This module decides; `scheduling::gangs` carries it out. Nothing of a gang is written to the state service: a new leader learns the
 //! live attempt from the reports of fenced machines. There is only one, since the next one starts when nothing of the last is left.
 
-use crate::units::{Attempt, MachineId, Span, Time};
+use crate::units::{Attempt, Duration, MachineId, Time};
 use std::collections::BTreeSet;
 
 /// Where a gang is in its life.
@@ -29,7 +29,7 @@
     /// What is left of the attempt is ending.
     Stopping {
         /// Time that its tasks have for saving.
-        grace: Span,
+        grace: Duration,
     },
 }
 
@@ -84,14 +84,14 @@
         }
         if self.attempt == Some(attempt) {
             if ended {
-                self.stop(Span(0));
+                self.stop(Duration(0));
             }
             return Adoption::Live;
         }
         let replaces = self.attempt.is_some();
         self.attempt = Some(attempt);
         self.missing_since = None;
-        self.phase = if ended { Phase::Stopping { grace: Span(0) } } else { Phase::Gathering { since: now } };
+        self.phase = if ended { Phase::Stopping { grace: Duration(0) } } else { Phase::Gathering { since: now } };
         if replaces { Adoption::Replaces } else { Adoption::Live }
     }
 
@@ -108,17 +108,17 @@
     pub fn task_lost(&mut self, now: Time) {
         match self.phase {
             Phase::Gathering { .. } => self.missing_since = Some(self.missing_since.unwrap_or(now)),
-            _ => self.stop(Span(0)),
+            _ => self.stop(Duration(0)),
         }
     }
 
     /// A task of the live attempt has ended without being done: the others are ending, or cannot begin any more.
     pub fn task_ended(&mut self) {
-        self.stop(Span(0));
+        self.stop(Duration(0));
     }
 
     /// The attempt is to end, its tasks having so long for saving. One that is ending already goes on as it was told.
-    pub fn stop(&mut self, grace: Span) {
+    pub fn stop(&mut self, grace: Duration) {
         if matches!(self.phase, Phase::Gathering { .. } | Phase::Running) {
             self.phase = Phase::Stopping { grace };
         }
--- a/src/gang/tests.rs
+++ b/src/gang/tests.rs
@@ -15,7 +15,7 @@
     gang.task_runs(Attempt(5));
     assert!(gang.runs());
     gang.task_ended();
-    assert_eq!(gang.phase, Phase::Stopping { grace: Span(0) });
+    assert_eq!(gang.phase, Phase::Stopping { grace: Duration(0) });
     gang.emptied();
     assert!(gang.is_queued() && gang.attempt.is_none());
 }
@@ -28,7 +28,7 @@
     assert_eq!((gang.phase, gang.missing_since), (Phase::Gathering { since: Time(10) }, Some(Time(20))));
     gang.task_runs(Attempt(5));
     gang.task_lost(Time(40));
-    assert_eq!(gang.phase, Phase::Stopping { grace: Span(0) });
+    assert_eq!(gang.phase, Phase::Stopping { grace: Duration(0) });
 }
 
 /// Two attempts are never mixed: what belongs to an earlier one is left over, whichever is found first.
@@ -36,7 +36,7 @@
 fn a_new_leader_takes_the_latest_attempt_that_it_finds() {
     let mut gang = Gang::default();
     assert_eq!(gang.adopt(Time(1), Attempt(5), M, true), Adoption::Live);
-    assert_eq!(gang.phase, Phase::Stopping { grace: Span(0) }, "something of it has ended");
+    assert_eq!(gang.phase, Phase::Stopping { grace: Duration(0) }, "something of it has ended");
     assert_eq!(gang.adopt(Time(2), Attempt(9), M, false), Adoption::Replaces);
     assert_eq!(gang.phase, Phase::Gathering { since: Time(2) });
     assert_eq!(gang.adopt(Time(3), Attempt(5), M, false), Adoption::Stale);
@@ -50,7 +50,7 @@
 #[test]
 fn a_stop_while_nothing_is_on_a_machine_changes_nothing() {
     let mut gang = Gang::default();
-    gang.stop(Span(5));
+    gang.stop(Duration(5));
     gang.task_lost(Time(1));
     assert!(gang.is_queued());
 }
@@ -60,8 +60,8 @@
 fn an_orderly_stop_keeps_its_time_for_saving() {
     let mut gang = gathering();
     gang.task_runs(Attempt(5));
-    gang.stop(Span(3000));
+    gang.stop(Duration(3000));
     gang.task_ended();
     gang.task_lost(Time(30));
-    assert_eq!(gang.phase, Phase::Stopping { grace: Span(3000) });
+    assert_eq!(gang.phase, Phase::Stopping { grace: Duration(3000) });
 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -3,7 +3,7 @@
 mod jobs;
 mod submission;
 
-pub use jobs::{Applied, Final, Job, JobBook, Placed};
+pub use jobs::{Applied, Final, Job, JobStore, Placed};
 pub use submission::{JobRecord, Refusal, can_ever_run, capacity, parse_job};
 
 #[cfg(test)]
--- a/src/intake/jobs.rs
+++ b/src/intake/jobs.rs
@@ -86,7 +86,7 @@
 
 /// All jobs: those that are not over in full, the others as their final state only.
 #[derive(Debug, Default)]
-pub struct JobBook {
+pub struct JobStore {
     live: BTreeMap<JobId, Job>,
     finals: HashMap<JobId, Final>,
     /// Jobs with tasks that are on no machine, most important first; others may be among them until
@@ -107,7 +107,7 @@
     Over(JobId, Vec<Placed>),
 }
 
-impl JobBook {
+impl JobStore {
     /// A job that is not over.
     pub fn get(&self, id: JobId) -> Option<&Job> {
         self.live.get(&id)
--- a/src/intake/submission.rs
+++ b/src/intake/submission.rs
@@ -1,7 +1,7 @@
 //! Submissions: their form, whether they can ever run, and jobs as they are accepted.
 
 use crate::settings::Team;
-use crate::units::{JobId, Room, Span, Wall};
+use crate::units::{Duration, JobId, Resources, Wall};
 use crate::wire::Flavor;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
@@ -41,7 +41,7 @@
     pub tasks: u32,
     /// What each task takes.
     #[serde(rename = "c")]
-    pub need: Room,
+    pub need: Resources,
     /// Image.
     #[serde(rename = "m")]
     pub image: String,
@@ -65,16 +65,16 @@
     pub spot: bool,
     /// The owner's estimate.
     #[serde(rename = "e")]
-    pub estimate: Span,
+    pub estimate: Duration,
     /// Progress after which a task saves by itself; 0: never.
     #[serde(rename = "q", default)]
-    pub checkpoint: Span,
+    pub checkpoint: Duration,
     /// Time to save when stopped.
     #[serde(rename = "v", default)]
-    pub save: Span,
+    pub save: Duration,
     /// Deadline after submission.
     #[serde(rename = "d", skip_serializing_if = "Option::is_none", default)]
-    pub deadline: Option<Span>,
+    pub deadline: Option<Duration>,
     /// When it was submitted.
     #[serde(rename = "a")]
     pub at: Wall,
@@ -168,7 +168,7 @@
         Some(Value::Null) | None => return Err(bad("Pieces", "is missing")),
         Some(_) => return Err(bad("Pieces", "is not a number")),
     };
-    let need = Room {
+    let need = Resources {
         cpus: amount(&fields, "Cores", false)?,
         gpus: amount(&fields, "Cards", true)?,
         memory: amount(&fields, "MemoryGb", false)?,
@@ -191,7 +191,7 @@
     };
     let deadline = match fields.get("DueS") {
         None | Some(Value::Null) => None,
-        Some(_) => Some(Span(amount(&fields, "DueS", false)?)),
+        Some(_) => Some(Duration(amount(&fields, "DueS", false)?)),
     };
     Ok(JobRecord {
         id,
@@ -209,18 +209,18 @@
         together: flag(&fields, "Together")?,
         spread: flag(&fields, "Spread")?,
         spot: flag(&fields, "Loaners")?,
-        estimate: Span(amount(&fields, "RuntimeS", service)?),
-        checkpoint: Span(amount(&fields, "BookmarkS", true)?),
-        save: Span(amount(&fields, "StashS", true)?),
+        estimate: Duration(amount(&fields, "RuntimeS", service)?),
+        checkpoint: Duration(amount(&fields, "BookmarkS", true)?),
+        save: Duration(amount(&fields, "StashS", true)?),
         deadline,
         at,
     })
 }
 
 /// The room that a machine type offers.
-pub fn capacity(flavor: &Flavor) -> Room {
+pub fn capacity(flavor: &Flavor) -> Resources {
     let milli = |v: f64| (v.max(0.0) * 1000.0 + 1e-6).floor() as u64;
-    Room { cpus: milli(flavor.cpus), gpus: milli(flavor.gpus), memory: milli(flavor.memory_gb) }
+    Resources { cpus: milli(flavor.cpus), gpus: milli(flavor.gpus), memory: milli(flavor.memory_gb) }
 }
 
 /// Checks whether a job can ever run; `gangs`: whether gangs are taken by now.
--- a/src/intake/tests.rs
+++ b/src/intake/tests.rs
@@ -126,27 +126,27 @@
 /// A state service that lowers its limits takes values of 2 KiB: no fact of a snapshot may be larger.
 #[test]
 fn facts_of_a_snapshot_fit_into_small_values() {
-    let mut book = JobBook::default();
+    let mut jobs = JobStore::default();
     let mut every_other = Ranges::default();
     for n in (0..2000).step_by(2) {
         every_other.insert(n);
     }
     let mut value = submission("job-000001");
     value["Pieces"] = json!(2000);
-    book.apply(&Record::Job(parse(&value).unwrap()), Time(9), Wall(9));
-    book.apply(&Record::Done(JobId(1), every_other), Time(9), Wall(9));
+    jobs.apply(&Record::Job(parse(&value).unwrap()), Time(9), Wall(9));
+    jobs.apply(&Record::Done(JobId(1), every_other), Time(9), Wall(9));
     for n in 0..1000 {
         let id = 100_000_000_000_000 + n * 9_000_000_000;
         let mut value = submission(&format!("job-{id}"));
         value["Pieces"] = json!(1);
-        book.apply(&Record::Job(parse(&value).unwrap()), Time(9), Wall(9));
+        jobs.apply(&Record::Job(parse(&value).unwrap()), Time(9), Wall(9));
         let mut all = Ranges::default();
         all.insert(0);
         let end = if n % 2 == 0 { Record::Cancelled(JobId(id)) } else { Record::Done(JobId(id), all) };
-        book.apply(&end, Time(9), Wall(9));
+        jobs.apply(&end, Time(9), Wall(9));
     }
-    let mut again = JobBook::default();
-    for fact in book.facts() {
+    let mut again = JobStore::default();
+    for fact in jobs.facts() {
         let size = serde_json::to_string(&fact).unwrap().len();
         assert!(size <= 2 * 1024 - 64 - 2, "{size} bytes: {fact:?}");
         again.apply(&fact, Time(9), Wall(9));
@@ -157,22 +157,22 @@
 
 #[test]
 fn facts_read_back_from_a_snapshot_give_the_same_book() {
-    let (mut book, mut again) = (JobBook::default(), JobBook::default());
+    let (mut jobs, mut again) = (JobStore::default(), JobStore::default());
     for n in 1..=3 {
         let record = parse(&submission(&format!("job-00000{n}"))).unwrap();
-        book.apply(&Record::Job(record), Time(9), Wall(9));
+        jobs.apply(&Record::Job(record), Time(9), Wall(9));
     }
     let mut two = Ranges::upto(2);
-    book.apply(&Record::Done(JobId(1), two.clone()), Time(9), Wall(9));
-    book.apply(&Record::Cancelled(JobId(2)), Time(9), Wall(9));
-    book.apply(&Record::Cancelled(JobId(1)), Time(9), Wall(9)); // too late: it is done
+    jobs.apply(&Record::Done(JobId(1), two.clone()), Time(9), Wall(9));
+    jobs.apply(&Record::Cancelled(JobId(2)), Time(9), Wall(9));
+    jobs.apply(&Record::Cancelled(JobId(1)), Time(9), Wall(9)); // too late: it is done
     two.remove(0);
-    book.apply(&Record::Done(JobId(3), two), Time(9), Wall(9));
-    for fact in book.facts() {
+    jobs.apply(&Record::Done(JobId(3), two), Time(9), Wall(9));
+    for fact in jobs.facts() {
         again.apply(&fact, Time(9), Wall(9));
     }
     for (n, status) in [(1, "done"), (2, "aborted"), (3, "queued")] {
-        assert_eq!(book.state(JobId(n)), again.state(JobId(n)));
+        assert_eq!(jobs.state(JobId(n)), again.state(JobId(n)));
         assert_eq!(again.state(JobId(n)).unwrap()["Status"], status);
     }
     assert_eq!(again.get(JobId(3)).unwrap().pending, Ranges::upto(1));
--- a/src/fleet.rs
+++ b/src/inventory.rs
@@ -2,7 +2,7 @@
 
 use crate::settings::CloudLimits;
 use crate::store::Reply;
-use crate::units::{JobId, MachineId, Room, Span, Time, Token};
+use crate::units::{Duration, JobId, MachineId, Resources, Time, Token};
 use crate::wire::{Flavor, Flavors, MachineList, MachineNames, RentRequest};
 use log::info;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -58,7 +58,7 @@
 
 /// State of the slice; made anew at each election.
 #[derive(Debug)]
-pub struct Fleet {
+pub struct Inventory {
     token: Token,
     rps: f64,
     budget: f64,
@@ -68,27 +68,27 @@
     flavors: Option<Vec<Flavor>>,
     flavors_at: Time,
     listed_at: Time,
-    list_lag: Span,
+    list_lag: Duration,
     in_flight: BTreeMap<u64, InFlight>,
     booting: BTreeMap<MachineId, Booting>,
     /// Machines came to `booting` since `take_news`.
     news: bool,
     /// Places that refused lately, until when, and the last pause.
-    refused: HashMap<Place, (Time, Span)>,
+    refused: HashMap<Place, (Time, Duration)>,
     returning: BTreeSet<MachineId>,
     gone: BTreeSet<MachineId>,
 }
 
-const CALL_TIMEOUT: Span = Span(5000);
-const FLAVORS_EVERY: Span = Span(30_000);
-const LIST_EVERY: Span = Span(5000);
+const CALL_TIMEOUT: Duration = Duration(5000);
+const FLAVORS_EVERY: Duration = Duration(30_000);
+const LIST_EVERY: Duration = Duration(5000);
 /// Most machines that one request rents.
 pub const RENT_LIMIT: u32 = 50;
 
-impl Fleet {
+impl Inventory {
     /// A new leader's view: it knows nothing yet.
-    pub fn new(token: Token, now: Time, limits: &CloudLimits) -> Fleet {
-        Fleet {
+    pub fn new(token: Token, now: Time, limits: &CloudLimits) -> Inventory {
+        Inventory {
             token,
             rps: limits.rps * 0.8,
             budget: limits.rps,
@@ -98,7 +98,7 @@
             flavors: None,
             flavors_at: Time(0),
             listed_at: Time(0),
-            list_lag: Span::secs(limits.list_lag_s),
+            list_lag: Duration::secs(limits.list_lag_s),
             in_flight: BTreeMap::new(),
             booting: BTreeMap::new(),
             news: false,
@@ -318,7 +318,7 @@
         if done {
             self.in_flight.remove(&id);
         } else {
-            flight.retry_at = Some(now + Span(700));
+            flight.retry_at = Some(now + Duration(700));
         }
     }
 
@@ -333,7 +333,7 @@
                 // One that an earlier leader rented, or a late copy of a rental: used or returned.
                 _ if !known(id) && !self.booting.contains_key(&id) => {
                     info!("found machine={id} type={} zone={} in the cloud's list", item.kind, item.zone);
-                    let age = Span::secs(item.age_s) + self.list_lag;
+                    let age = Duration::secs(item.age_s) + self.list_lag;
                     let since = Time(now.0.saturating_sub(age.0));
                     self.booting.insert(id, Booting { kind: item.kind, zone: item.zone, spot: item.spot, since });
                     self.news = true;
@@ -349,7 +349,7 @@
             .booting()
             .filter(|(_, b)| {
                 let boot = self.flavor(&b.kind).map_or(60.0, |f| f.boot_s);
-                now.since(b.since) > Span::secs(boot * 3.0 + 15.0)
+                now.since(b.since) > Duration::secs(boot * 3.0 + 15.0)
             })
             .map(|(id, _)| *id)
             .collect();
@@ -359,15 +359,15 @@
     }
 }
 
-impl std::ops::Add for Span {
-    type Output = Span;
-    fn add(self, other: Span) -> Span {
-        Span(self.0.saturating_add(other.0))
+impl std::ops::Add for Duration {
+    type Output = Duration;
+    fn add(self, other: Duration) -> Duration {
+        Duration(self.0.saturating_add(other.0))
     }
 }
 
-fn refuse(refused: &mut HashMap<Place, (Time, Span)>, now: Time, place: Place) {
-    let pause = refused.get(&place).map_or(Span(5000), |(_, last)| Span((last.0 * 2).min(30_000)));
+fn refuse(refused: &mut HashMap<Place, (Time, Duration)>, now: Time, place: Place) {
+    let pause = refused.get(&place).map_or(Duration(5000), |(_, last)| Duration((last.0 * 2).min(30_000)));
     refused.insert(place, (now + pause, pause));
 }
 
@@ -377,7 +377,7 @@
     /// One job of these tasks.
     pub job: JobId,
     /// What each takes.
-    pub need: Room,
+    pub need: Resources,
     /// How many.
     pub count: u32,
     /// Whether spot machines will do.
@@ -403,7 +403,7 @@
     refused: &dyn Fn(&Place) -> bool,
     zones: &mut BTreeMap<(String, bool), u64>,
 ) -> BTreeMap<Place, u32> {
-    let mut bought: Vec<(Place, Room)> = Vec::new();
+    let mut bought: Vec<(Place, Resources)> = Vec::new();
     for (n, demand) in demands.iter().enumerate() {
         let mut left = demand.count;
         let mut per_zone: BTreeMap<String, u32> = BTreeMap::new();
@@ -439,7 +439,7 @@
         };
         let others: u32 = demands[n + 1..].iter().filter(alike).map(|d| d.count).sum();
         while left > 0 {
-            let mut best: Option<((u64, u64), Place, Room, u32)> = None;
+            let mut best: Option<((u64, u64), Place, Resources, u32)> = None;
             for flavor in flavors {
                 let room = crate::intake::capacity(flavor);
                 let fit = demand.need.times_in(&room).min(u64::from(u32::MAX)) as u32;
@@ -487,7 +487,7 @@
 }
 
 /// A zone in which what is rented already has room for all tasks of a demand.
-fn zone_with_room(bought: &[(Place, Room)], demand: &Demand, allowed: &dyn Fn(&Place) -> bool) -> Option<String> {
+fn zone_with_room(bought: &[(Place, Resources)], demand: &Demand, allowed: &dyn Fn(&Place) -> bool) -> Option<String> {
     let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
     for (place, free) in bought.iter().filter(|(place, _)| allowed(place)) {
         *zones.entry(&place.1).or_default() += demand.need.times_in(free);
--- a/src/fleet/tests.rs
+++ b/src/inventory/tests.rs
@@ -8,9 +8,9 @@
 #[test]
 fn a_rental_without_answer_is_repeated_under_its_name() {
     let limits = CloudLimits { rps: 6.0, list_lag_s: 8.0 };
-    let mut fleet = Fleet::new(Token(41), Time(1), &limits);
+    let mut inventory = Inventory::new(Token(41), Time(1), &limits);
     let mut out = Vec::new();
-    fleet.rent(Time(1), &("small".into(), "a".into(), true), 3, &mut out);
+    inventory.rent(Time(1), &("small".into(), "a".into(), true), 3, &mut out);
     let names = |out: &mut Vec<Event>| -> Vec<(u64, String)> {
         out.drain(..)
             .filter_map(|e| match e {
@@ -20,19 +20,19 @@
             .collect()
     };
     let first = names(&mut out);
-    fleet.tick(Time(5100), &mut out);
+    inventory.tick(Time(5100), &mut out);
     let second = names(&mut out);
     assert_eq!((first[0].1.as_str(), second[0].1.as_str()), ("r-41-1", "r-41-1"));
-    fleet.reply(Time(5200), second[0].0, &reply(200, json!({"Hosts": ["m-000007"]})), &|_| false, &mut out);
-    assert_eq!(fleet.booting().map(|(id, _)| *id).collect::<Vec<_>>(), [MachineId(7)]);
-    assert!(fleet.refused(&("small".into(), "a".into(), true), Time(6000)), "only partly filled");
+    inventory.reply(Time(5200), second[0].0, &reply(200, json!({"Hosts": ["m-000007"]})), &|_| false, &mut out);
+    assert_eq!(inventory.booting().map(|(id, _)| *id).collect::<Vec<_>>(), [MachineId(7)]);
+    assert!(inventory.refused(&("small".into(), "a".into(), true), Time(6000)), "only partly filled");
 }
 
 /// Three replicas of a service that is spread over zones.
 fn replicas(job: u64) -> Demand {
     Demand {
         job: JobId(job),
-        need: Room { cpus: 1000, gpus: 0, memory: 3200 },
+        need: Resources { cpus: 1000, gpus: 0, memory: 3200 },
         count: 3,
         spot: false,
         ordinary: true,
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -5,7 +5,7 @@
 //! by reading the key, and a restarted node replaces its own dead predecessor's key at once.
 
 use crate::store::{Reply, StateCall, condition};
-use crate::units::{LeaseId, Revision, Span, Time, Token};
+use crate::units::{Duration, LeaseId, Revision, Time, Token};
 use crate::upgrade::Format;
 use crate::wire::{Change, KeyValue, LeaseAnswer, Txn, TxnAnswer};
 use log::info;
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 pub struct Leadership {
     me: Holder,
-    ttl: Span,
+    ttl: Duration,
     rng: SmallRng,
     calls: u64,
     in_flight: Option<InFlight>,
@@ -90,16 +90,16 @@
 }
 
 /// Clocks differ by 0.05 %, and a process may be late; this much of the lease is not relied on.
-const MARGIN: Span = Span(200);
-const CALL_TIMEOUT: Span = Span(1000);
+const MARGIN: Duration = Duration(200);
+const CALL_TIMEOUT: Duration = Duration(1000);
 /// Why a term ends when its leader moves the key.
 const MOVED: &str = "the leader key has moved: all controllers are upgraded";
 /// How long a node that made room leaves the key to the others.
-const ABSTAIN: Span = Span(10_000);
+const ABSTAIN: Duration = Duration(10_000);
 
 impl Leadership {
     /// A node that has just started.
-    pub fn new(node: &str, incarnation: u64, ttl: Span, rng: SmallRng) -> Self {
+    pub fn new(node: &str, incarnation: u64, ttl: Duration, rng: SmallRng) -> Self {
         Leadership {
             me: Holder { node: node.to_string(), incarnation },
             ttl,
@@ -152,8 +152,8 @@
     /// Look at the key soon, because the leader's link broke.
     pub fn hurry(&mut self, now: Time) {
         if self.token.is_none() {
-            self.next = self.next.min(now + Span(20));
-            self.eager_until = now + self.ttl + Span(500);
+            self.next = self.next.min(now + Duration(20));
+            self.eager_until = now + self.ttl + Duration(500);
         }
     }
 
@@ -202,13 +202,13 @@
         out.push(Event::Call(self.calls, call));
     }
 
-    fn pause(&mut self, low: u64, high: u64) -> Span {
-        Span(self.rng.random_range(low..=high))
+    fn pause(&mut self, low: u64, high: u64) -> Duration {
+        Duration(self.rng.random_range(low..=high))
     }
 
     fn failed(&mut self, now: Time, kind: Kind) {
         // A renewal is urgent; everything else waits with jitter, so that nodes do not march in step.
-        let pause = if matches!(kind, Kind::Renew | Kind::Move) { Span(150) } else { self.pause(200, 500) };
+        let pause = if matches!(kind, Kind::Renew | Kind::Move) { Duration(150) } else { self.pause(200, 500) };
         self.next = now + pause;
     }
 
@@ -269,7 +269,7 @@
             },
             (Kind::Campaign, 200) => match (reply.parse::<TxnAnswer>(), self.lease) {
                 (Some(answer), Some((_, granted))) => {
-                    self.valid_until = granted + Span(self.ttl.0.saturating_sub(MARGIN.0));
+                    self.valid_until = granted + Duration(self.ttl.0.saturating_sub(MARGIN.0));
                     self.elected(now, Revision(answer.revision), out);
                 }
                 _ => self.failed(now, call.kind),
@@ -280,12 +280,12 @@
                 self.next = now + self.pause(20, 80);
             }
             (Kind::Renew, 200) => {
-                self.valid_until = call.sent + Span(self.ttl.0.saturating_sub(MARGIN.0));
+                self.valid_until = call.sent + Duration(self.ttl.0.saturating_sub(MARGIN.0));
                 match self.claimed.take() {
                     Some(revision) => self.elected(now, revision, out),
                     None if self.moves => self.send_move(now, out),
                     // Counted from the sending, so that slow answers don't leave a leader in doubt in between.
-                    None => self.next = call.sent + Span(self.ttl.0 / 4),
+                    None => self.next = call.sent + Duration(self.ttl.0 / 4),
                 }
             }
             (Kind::Renew, 404) => self.step_down(now, "lease lost", out),
--- a/src/leadership/tests.rs
+++ b/src/leadership/tests.rs
@@ -3,7 +3,7 @@
 use serde_json::json;
 
 fn node(name: &str, incarnation: u64) -> Leadership {
-    Leadership::new(name, incarnation, Span(2500), SmallRng::seed_from_u64(1))
+    Leadership::new(name, incarnation, Duration(2500), SmallRng::seed_from_u64(1))
 }
 
 fn only_call(out: &mut Vec<Event>) -> (u64, StateCall) {
@@ -35,7 +35,7 @@
     let (id, _) = only_call(&mut out);
     n.reply(Time(5), id, &answer(404, json!({"Ledger": 3})), &mut out);
     let (id, call) = only_call(&mut out);
-    assert_eq!(call, StateCall::Grant(Span(2500)));
+    assert_eq!(call, StateCall::Grant(Duration(2500)));
     n.reply(Time(10), id, &answer(200, json!({"Permit": 4})), &mut out);
     assert!(matches!(only_call(&mut out).1, StateCall::Txn(_)));
     n.tick(Time(1100), &mut out); // no answer
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -13,7 +13,7 @@
 pub use model::{Entry, Image, Order, Profile, Server, World, Zones};
 use simulation::{late_by_entry, outcome, position, walk};
 
-use crate::units::{JobId, MachineId, Room, Span, Time};
+use crate::units::{Duration, JobId, MachineId, Resources, Time};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
@@ -32,7 +32,7 @@
 pub const PUSHING_RANKS: usize = 3;
 
 /// What pushing lower tasks aside costs a service or gang; more than `FINE`, so that free room is preferred.
-const PUSH_ASIDE: Span = Span(400);
+const PUSH_ASIDE: Duration = Duration(400);
 
 /// What inserting a task would do, in the order in which machines are preferred: whether it misses its
 /// deadline, how many others it pushes past theirs, its end, and the machine's bias.
@@ -106,7 +106,7 @@
         let mut later: Vec<(Entry, MachineId)> = Vec::new();
         for server in self.servers.values().filter(|s| !s.queue.is_empty()) {
             walk(server, now, None, |entry, start, _| {
-                if start.is_none_or(|at| at > ready + Span(1000)) {
+                if start.is_none_or(|at| at > ready + Duration(1000)) {
                     later.push((*entry, server.id));
                 }
             });
@@ -132,9 +132,9 @@
         for id in ids {
             let Some(server) = self.servers.get(&id).filter(|s| !s.queue.is_empty()) else { continue };
             let mut stuck = Vec::new();
-            let up = server.start_time(now) <= now + Span(500);
+            let up = server.start_time(now) <= now + Duration(500);
             walk(server, now, None, |entry, start, _| {
-                if start.is_none_or(|at| up && entry.endless && at > now + Span(1000)) {
+                if start.is_none_or(|at| up && entry.endless && at > now + Duration(1000)) {
                     stuck.push(entry.job);
                 }
             });
@@ -151,8 +151,8 @@
         }
     }
 
-    /// Room of a machine after a start in the same round.
-    pub fn set_free(&mut self, id: MachineId, free: Room) {
+    /// Resources of a machine after a start in the same round.
+    pub fn set_free(&mut self, id: MachineId, free: Resources) {
         if let Some(server) = self.servers.get_mut(&id) {
             server.free = free;
         }
@@ -262,7 +262,7 @@
     pub fn place(&mut self, now: Time, task: Entry, count: u32, world: &dyn World) -> u32 {
         let Some(profile) = world.profile(task.job) else { return 0 };
         let mut zones =
-            if task.tied { world.zones(task.job, &self.planned_by_zone(task.job)) } else { Zones::default() };
+            if task.constrained { world.zones(task.job, &self.planned_by_zone(task.job)) } else { Zones::default() };
         let mut best: BinaryHeap<Reverse<(Rating, MachineId)>> = self
             .servers
             .values()
@@ -274,7 +274,7 @@
             && let Some(Reverse((_, id))) = best.pop()
         {
             let Some(server) = self.servers.get(&id) else { continue };
-            if task.tied && !zones.room(server.zone) {
+            if task.constrained && !zones.room(server.zone) {
                 continue;
             }
             if stale.remove(&id) {
@@ -323,10 +323,10 @@
             for _ in before..late {
                 let Some(at) = self.servers[&id].queue.iter().rposition(|e| e.job == job) else { break };
                 let entry = self.servers[&id].queue[at];
-                if entry.job == inserted || entry.tied || entry.endless || entry.gang {
+                if entry.job == inserted || entry.constrained || entry.endless || entry.gang {
                     break;
                 }
-                let mut best: Option<((u32, Time), MachineId, Span)> = None;
+                let mut best: Option<((u32, Time), MachineId, Duration)> = None;
                 for server in self.servers.values().filter(|s| s.id != id) {
                     let Some(run) = profile.predict(server) else { continue };
                     let Some(outcome) = outcome(server, now, Entry { run, count: 1, ..entry }) else { continue };
@@ -348,7 +348,7 @@
     }
 
     /// The highest-priority task in another machine's plan that fits into this one's free room now.
-    pub fn steal(&mut self, id: MachineId, allowed: &dyn Fn(&Entry, &Server) -> Option<Span>) -> Option<Entry> {
+    pub fn steal(&mut self, id: MachineId, allowed: &dyn Fn(&Entry, &Server) -> Option<Duration>) -> Option<Entry> {
         let me = self.servers.get(&id)?;
         let (from, at, run) = self.ordered.iter().find_map(|(_, job)| {
             let from = *self.planned.get(job)?.at.keys().rev().find(|other| **other != id)?;
--- a/src/plan/correction.rs
+++ b/src/plan/correction.rs
@@ -1,6 +1,6 @@
 //! Algorithm 2 of the paper: the error ratio that estimates are scaled by.
 
-use crate::units::Span;
+use crate::units::Duration;
 
 /// CorrecFAST: the average of actual over predicted time, in percent (Algorithm 2).
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -19,12 +19,12 @@
 
 impl Correction {
     /// The next prediction: the estimate scaled by what was learnt.
-    pub fn predict(&self, estimate: Span) -> Span {
+    pub fn predict(&self, estimate: Duration) -> Duration {
         estimate.times(self.percent / 100.0)
     }
 
     /// Learns from an execution that was predicted to take `predicted`.
-    pub fn learn(&mut self, actual: Span, predicted: Span) {
+    pub fn learn(&mut self, actual: Duration, predicted: Duration) {
         if predicted.0 == 0 {
             return;
         }
--- a/src/plan/gangs.rs
+++ b/src/plan/gangs.rs
@@ -5,7 +5,7 @@
 //! tasks past theirs is taken, then the one whose common end is sooner; without a complete trial nothing is planned.
 
 use super::{
-    Entry, FINE, MachineId, Plans, Profile, QUEUE_LIMIT, Server, Span, Time, World, Zones, late_by_entry, outcome,
+    Duration, Entry, FINE, MachineId, Plans, Profile, QUEUE_LIMIT, Server, Time, World, Zones, late_by_entry, outcome,
     position,
 };
 use crate::units::JobId;
@@ -17,7 +17,7 @@
 struct Slot {
     machine: MachineId,
     /// Predicted time of the task on this machine.
-    run: Span,
+    run: Duration,
     /// Predicted end.
     finish: Time,
 }
--- a/src/plan/model.rs
+++ b/src/plan/model.rs
@@ -1,7 +1,7 @@
 //! What is planned: tasks and machines as the plan sees them, and what it asks about jobs.
 
 use super::PUSHING_RANKS;
-use crate::units::{JobId, MachineId, Room, Span, Time};
+use crate::units::{Duration, JobId, MachineId, Resources, Time};
 use std::collections::BTreeMap;
 
 /// Where an entry stands in a queue: rank first, then the order of arrival.
@@ -23,15 +23,15 @@
     /// How many tasks.
     pub count: u32,
     /// What each of them takes.
-    pub need: Room,
+    pub need: Resources,
     /// Predicted time on this machine.
-    pub run: Span,
+    pub run: Duration,
     /// Whether the tasks run until cancelled.
     pub endless: bool,
     /// When they should be complete; `Time::NEVER` without a deadline.
     pub deadline: Time,
     /// Whether placement of the job's tasks depends on each other (`Spread`, `Together`).
-    pub tied: bool,
+    pub constrained: bool,
     /// Whether all tasks of the job start at the same time.
     pub gang: bool,
     /// The rank whose lower tasks may be stopped to make room for this one at once, if any may.
@@ -42,7 +42,7 @@
 
 impl Entry {
     /// The part of free room in which it may start.
-    pub fn room_in(&self, free: &Room, kept: &Room) -> Room {
+    pub fn room_in(&self, free: &Resources, kept: &Resources) -> Resources {
         let mut room = *free;
         if !self.takes_kept {
             room.sub(kept);
@@ -65,18 +65,18 @@
     /// When it can start tasks (later than now while it boots).
     pub ready: Time,
     /// It starts nothing before this time from now on: an overdue boot is not over at once.
-    pub slack: Span,
+    pub slack: Duration,
     /// Among machines that are as good, the one with the smaller value is taken, for endless and
     /// for other tasks: cheap and already used ones first.
     pub bias: (u64, u64),
-    /// Room that is free now.
-    pub free: Room,
+    /// Resources that is free now.
+    pub free: Resources,
     /// Part of the free room that is kept ahead for what must start at once.
-    pub kept: Room,
-    /// Room of tasks that may be pushed aside, by the rank of what pushes them: the most important services, and gangs.
-    pub soft: [Room; PUSHING_RANKS],
-    /// Room that running tasks are predicted to give back.
-    pub releases: Vec<(Time, Room)>,
+    pub kept: Resources,
+    /// Resources of tasks that may be pushed aside, by the rank of what pushes them: the most important services, and gangs.
+    pub soft: [Resources; PUSHING_RANKS],
+    /// Resources that running tasks are predicted to give back.
+    pub releases: Vec<(Time, Resources)>,
     /// Images that it holds, in order.
     pub images: Vec<Image>,
     /// Tasks that wait for this machine, most important first.
@@ -93,7 +93,7 @@
 #[derive(Debug, Clone)]
 pub struct Profile {
     /// By type of machine: the predicted time where the image is, and where it is not; `None`: not there.
-    pub kinds: Vec<Option<(Span, Span)>>,
+    pub kinds: Vec<Option<(Duration, Duration)>>,
     /// The only allowed zone.
     pub zone: Option<usize>,
     /// Whether spot machines will do.
@@ -106,7 +106,7 @@
 
 impl Profile {
     /// The predicted time on this machine; `None` if the tasks cannot run there.
-    pub fn predict(&self, server: &Server) -> Option<Span> {
+    pub fn predict(&self, server: &Server) -> Option<Duration> {
         let (cached, fetched) = (*self.kinds.get(server.kind)?)?;
         let allowed = (self.spot || !server.spot)
             && self.zone.is_none_or(|z| z == server.zone)
@@ -115,7 +115,7 @@
     }
 }
 
-/// Where tasks of a tied job may still be added.
+/// Where tasks of a constrained job may still be added.
 #[derive(Debug, Clone, Default)]
 pub struct Zones {
     /// How many in each zone.
@@ -144,6 +144,6 @@
 pub trait World {
     /// Where tasks of this job may run; `None` for a job that is not known.
     fn profile(&self, job: JobId) -> Option<Profile>;
-    /// Where tasks of a tied job may be added, given those that run and, by zone, those planned.
+    /// Where tasks of a constrained job may be added, given those that run and, by zone, those planned.
     fn zones(&self, job: JobId, planned: &BTreeMap<usize, u32>) -> Zones;
 }
--- a/src/plan/simulation.rs
+++ b/src/plan/simulation.rs
@@ -67,10 +67,10 @@
     late
 }
 
-/// Room that is given back at some time: CPUs, GPUs and memory.
+/// Resources that is given back at some time: CPUs, GPUs and memory.
 pub(super) type Release = (Time, u64, u64, u64);
 
-pub(super) fn release(at: Time, room: &Room) -> Release {
+pub(super) fn release(at: Time, room: &Resources) -> Release {
     (at, room.cpus, room.gpus, room.memory)
 }
 
@@ -101,7 +101,7 @@
             if let Some(rank) = entry.pushes_aside.map(usize::from).filter(|rank| *rank < PUSHING_RANKS)
                 && !entry.need.fits(&free)
             {
-                // Room is made at once, at the cost of lower tasks.
+                // Resources is made at once, at the cost of lower tasks.
                 let mut all = free;
                 all.add(&soft[rank]);
                 if entry.need.fits(&all) {
@@ -120,7 +120,7 @@
             while !entry.need.fits(&entry.room_in(&free, &kept)) {
                 let Some(Reverse(release)) = heap.pop() else { break };
                 clock = clock.max(release.0);
-                free.add(&Room { cpus: release.1, gpus: release.2, memory: release.3 });
+                free.add(&Resources { cpus: release.1, gpus: release.2, memory: release.3 });
             }
             if !entry.need.fits(&entry.room_in(&free, &kept)) {
                 // Endless tasks hold the room: what comes behind need not wait for this entry.
--- a/src/plan/tests.rs
+++ b/src/plan/tests.rs
@@ -12,12 +12,12 @@
 fn server(id: u64) -> Server {
     Server { id: MachineId(id), kind: id as usize - 1, free: ONE, ..Server::default() }
 }
-const ONE: Room = Room { cpus: 1000, gpus: 0, memory: 0 };
+const ONE: Resources = Resources { cpus: 1000, gpus: 0, memory: 0 };
 
 impl World for Table {
     fn profile(&self, job: JobId) -> Option<Profile> {
         let times = TIMES[job.0 as usize - 1];
-        let kinds = times.iter().map(|t| t.map(|t| (Span(t * COARSE), Span(t * COARSE)))).collect();
+        let kinds = times.iter().map(|t| t.map(|t| (Duration(t * COARSE), Duration(t * COARSE)))).collect();
         Some(Profile { kinds, zone: None, spot: true, avoid: Vec::new(), image: 0 })
     }
     fn zones(&self, _: JobId, _: &BTreeMap<usize, u32>) -> Zones {
@@ -31,10 +31,10 @@
         order: Order { rank: 10 - priority, seq: number },
         count: 1,
         need: ONE,
-        run: Span(0),
+        run: Duration(0),
         endless: false,
         deadline: Time(deadline * COARSE),
-        tied: false,
+        constrained: false,
         gang: false,
         pushes_aside: None,
         takes_kept: false,
@@ -97,7 +97,7 @@
     let mut plans = Plans::default();
     plans.admit(Time(0), vec![server(1)]);
     plans.place(Time(0), task(1, 3, 1000), 1, &Table);
-    plans.refresh(Server { free: Room::default(), ..server(1) });
+    plans.refresh(Server { free: Resources::default(), ..server(1) });
     plans.release_stuck(Time(0), [MachineId(1)].into_iter());
     assert_eq!((shown(&plans).as_str(), plans.planned(JobId(1))), ("", 0));
 }
@@ -105,13 +105,13 @@
 #[test]
 fn correcfast_follows_its_formula() {
     let mut c = Correction::default();
-    c.learn(Span(150), Span(100));
+    c.learn(Duration(150), Duration(100));
     assert_eq!(c, Correction { percent: 150.0, executions: 1 });
-    c.learn(Span(50), Span(100));
+    c.learn(Duration(50), Duration(100));
     assert_eq!(c, Correction { percent: 100.0, executions: 2 });
-    c.learn(Span(250), Span(100));
+    c.learn(Duration(250), Duration(100));
     assert_eq!(c.percent, 150.0);
-    assert_eq!(c.predict(Span(10)), Span(15));
+    assert_eq!(c.predict(Duration(10)), Duration(15));
 }
 
 /// Gangs: three zones of machines; a gang's tasks take a second each.
@@ -122,7 +122,7 @@
 
 impl World for Cluster {
     fn profile(&self, _: JobId) -> Option<Profile> {
-        let time = Span(10 * COARSE);
+        let time = Duration(10 * COARSE);
         Some(Profile { kinds: vec![Some((time, time))], zone: None, spot: true, avoid: Vec::new(), image: 0 })
     }
     fn zones(&self, _: JobId, _: &BTreeMap<usize, u32>) -> Zones {
@@ -131,11 +131,11 @@
 }
 
 fn machine(id: u64, zone: usize, cpus: u64) -> Server {
-    Server { id: MachineId(id), zone, free: Room { cpus: cpus * 1000, gpus: 0, memory: 0 }, ..Server::default() }
+    Server { id: MachineId(id), zone, free: Resources { cpus: cpus * 1000, gpus: 0, memory: 0 }, ..Server::default() }
 }
 
 fn gang(number: u64) -> Entry {
-    Entry { gang: true, tied: true, deadline: Time::NEVER, ..task(number, 5, 0) }
+    Entry { gang: true, constrained: true, deadline: Time::NEVER, ..task(number, 5, 0) }
 }
 
 #[test]
@@ -163,7 +163,7 @@
     assert!(!plans.place_gang(Time(0), gang(1), 3, &Cluster { together: false }));
     // Behind what ends in time there is room for all at once.
     let mut busy = machine(2, 0, 1);
-    busy.releases = vec![(Time(5000), Room { cpus: 2000, gpus: 0, memory: 0 })];
+    busy.releases = vec![(Time(5000), Resources { cpus: 2000, gpus: 0, memory: 0 })];
     plans.admit(Time(0), vec![busy]);
     plans.remove(MachineId(1));
     assert!(plans.place_gang(Time(0), gang(1), 3, &Cluster { together: false }));
@@ -177,7 +177,7 @@
     plans.admit(Time(0), vec![machine(1, 0, 2), machine(2, 1, 2)]);
     // Low tasks with a deadline that holds only if they start at once, in the first zone.
     for number in 5..7 {
-        let waits = Entry { run: Span(10 * COARSE), ..task(number, 1, 11) };
+        let waits = Entry { run: Duration(10 * COARSE), ..task(number, 1, 11) };
         plans.add(MachineId(1), waits);
     }
     assert!(plans.place_gang(Time(0), gang(1), 2, &Cluster { together: true }));
--- a/src/renting.rs
+++ b/src/provisioning.rs
@@ -1,46 +1,46 @@
-//! Where plan and fleet meet: what is rented for what waits, and what is emptied and given back.
+//! Where plan and inventory meet: what is rented for what waits, and what is emptied and given back.
 
 use crate::arrivals::ClassArrivals;
 use crate::controller::Effect;
-use crate::fleet::{self, Demand, Place};
+use crate::failure_detection::LostZone;
 use crate::intake::{self, Job};
+use crate::inventory::{self, Demand, Place};
 use crate::plan::{Order, Server};
 use crate::scheduling::order_of;
 use crate::settings::Objective;
 use crate::term::Term;
-use crate::units::{JobId, MachineId, Room, Span, Time, Wall};
-use crate::watching::LostZone;
+use crate::units::{Duration, JobId, MachineId, Resources, Time, Wall};
 use crate::workers::{Hold, Machine};
 use log::{debug, info};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Tasks that may use spot machines wait so long for one before an ordinary one is rented: it costs
 /// several times as much, and spot machines become free.
-const SPOT_PATIENCE: Span = Span(200_000);
+const SPOT_PATIENCE: Duration = Duration(200_000);
 /// So long nothing is rented in a zone that most machines have fallen silent in: what is rented there
 /// most likely cannot report either.
-const AVOID_ZONE: Span = Span(40_000);
+const AVOID_ZONE: Duration = Duration(40_000);
 /// Why a machine is drained whose services were moved to others.
 const CONSOLIDATED: &str = "its services fit elsewhere";
 
 /// From a job's coming until a machine for it is asked for, and from its boot until it can be used.
-const COMMIT_AND_RENT: Span = Span(5000);
+const COMMIT_AND_RENT: Duration = Duration(5000);
 /// Share of the tasks expected within a boot for which room is kept ahead; the others find that of jobs that end.
 const CLASS_ROOM_SHARE: f64 = 0.5;
-/// Room is kept for so many of the largest jobs of a class, whatever is expected.
+/// Resources is kept for so many of the largest jobs of a class, whatever is expected.
 const LARGEST_JOBS: u64 = 2;
 
-/// Room of a machine that is not promised to anything yet.
+/// Resources of a machine that is not promised to anything yet.
 struct FreeRoom {
     machine: MachineId,
-    free: Room,
-    /// Room of tasks that services may push aside.
-    soft: Room,
+    free: Resources,
+    /// Resources of tasks that services may push aside.
+    soft: Resources,
 }
 
 impl FreeRoom {
     /// Takes free room for tasks, so many at the most; how many fit.
-    fn take(&mut self, need: &Room, most: u64) -> u64 {
+    fn take(&mut self, need: &Resources, most: u64) -> u64 {
         let count = need.times_in(&self.free).min(most);
         for _ in 0..count {
             self.free.sub(need);
@@ -49,7 +49,7 @@
     }
 
     /// The same with the room of tasks that may be pushed aside, which goes first.
-    fn take_with_soft(&mut self, need: &Room, most: u64) -> u64 {
+    fn take_with_soft(&mut self, need: &Resources, most: u64) -> u64 {
         let mut all = self.free;
         all.add(&self.soft);
         let count = need.times_in(&all).min(most);
@@ -66,33 +66,33 @@
 impl Term {
     /// What waits too long on the machines that there are, as classes.
     fn demands(&mut self, now: Time) -> Vec<Demand> {
-        let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(f64::MAX, f64::min);
-        let boot = Span::secs(if boots == f64::MAX { 30.0 } else { boots });
+        let boots = self.inventory.flavors().into_iter().flatten().map(|f| f.boot_s).fold(f64::MAX, f64::min);
+        let boot = Duration::secs(if boots == f64::MAX { 30.0 } else { boots });
         // Apart are those for which ordinary machines are rented too.
-        let no_spot = self.fleet.spot_refused(now);
+        let no_spot = self.inventory.spot_refused(now);
         let mut counts: BTreeMap<(Order, JobId, bool), u32> = BTreeMap::new();
         for server in self.plans.servers().filter(|s| !s.queue.is_empty()) {
             for (entry, start) in self.plans.starts(server.id, now) {
                 // A machine rented now would be up after `boot`: only what it would start sooner counts.
                 let late = match start {
                     None => true,
-                    Some(at) if entry.endless => at > now + boot + Span(5000),
+                    Some(at) if entry.endless => at > now + boot + Duration(5000),
                     Some(at) => {
-                        let goal = self.book.get(entry.job).map_or(Time::NEVER, |j| self.goal(j));
-                        at > now + boot + Span(3000) && at + entry.run > goal
+                        let goal = self.jobs.get(entry.job).map_or(Time::NEVER, |j| self.goal(j));
+                        at > now + boot + Duration(3000) && at + entry.run > goal
                     }
                 };
                 if late {
                     let long =
-                        no_spot && self.book.get(entry.job).is_some_and(|j| self.worth(j, now, start, entry.run, boot));
+                        no_spot && self.jobs.get(entry.job).is_some_and(|j| self.worth(j, now, start, entry.run, boot));
                     *counts.entry((entry.order, entry.job, long)).or_insert(0) += 1;
                 }
             }
         }
         // What was not looked at lately may find room yet.
-        const LATELY: Span = Span(5000);
+        const LATELY: Duration = Duration(5000);
         let tried = |j: &&Job| now.since(j.looked) < LATELY;
-        for job in self.book.waiting().filter(|j| self.startable(j, now)).filter(tried) {
+        for job in self.jobs.waiting().filter(|j| self.startable(j, now)).filter(tried) {
             let left = job.pending.len().saturating_sub(self.plans.planned(job.record.id));
             if left > 0 {
                 let run = self.correction.predict(job.record.estimate);
@@ -104,7 +104,7 @@
         let demands = counts
             .into_iter()
             .filter_map(|((_, id, long), count)| {
-                let job = self.book.get(id)?;
+                let job = self.jobs.get(id)?;
                 let limit = self.limit_left(job);
                 // An ordinary machine has to be worth its price: one runs several of these tasks in turn.
                 let turns = if long && job.record.spot {
@@ -139,15 +139,15 @@
 
     /// How many tasks of services are likely to come within a boot, and a job like them.
     fn expected_services(&self, boot_s: f64) -> Option<(&Job, u64)> {
-        const WINDOW: Span = Span(120_000);
-        const SLOT: Span = Span(10_000);
+        const WINDOW: Duration = Duration(120_000);
+        const SLOT: Duration = Duration(10_000);
         // Jobs that come all at once, as at a start, say little of what comes next: a slot counts for no
         // more than this, or than three ordinary ones.
         const SLOT_LIMIT: u32 = 6;
         let mut slots: BTreeMap<u64, u32> = BTreeMap::new();
         let mut typical: Option<&Job> = None;
         let now = self.scheduled;
-        for job in self.book.live().filter(|j| j.record.service && j.record.rank == 0 && j.record.zone.is_none()) {
+        for job in self.jobs.live().filter(|j| j.record.service && j.record.rank == 0 && j.record.zone.is_none()) {
             let age = now.since(job.submitted);
             if age < WINDOW {
                 *slots.entry(age.0 / SLOT.0).or_insert(0) += job.record.tasks;
@@ -166,7 +166,7 @@
 
     /// Ordinary machines for what is likely to come before a machine rented for it would be up and must not wait so long: services,
     /// and jobs whose class has an aim at starting. Notes the machines whose room is kept for the latter.
-    fn headroom(&mut self, now: Time, boot: Span) -> Vec<Demand> {
+    fn headroom(&mut self, now: Time, boot: Duration) -> Vec<Demand> {
         let mut rooms = self.free_rooms();
         let mut demands: Vec<Demand> = self.service_headroom(now, boot, &mut rooms).into_iter().collect();
         self.prompt_classes = self.settings.deployment.classes_to_start_within(boot);
@@ -193,7 +193,7 @@
     }
 
     /// Without room, even that of lower tasks, services would wait for the boot.
-    fn service_headroom(&self, now: Time, boot: Span, rooms: &mut [FreeRoom]) -> Option<Demand> {
+    fn service_headroom(&self, now: Time, boot: Duration, rooms: &mut [FreeRoom]) -> Option<Demand> {
         let (job, wanted) = self.expected_services(boot.as_secs())?;
         let wanted = wanted + self.stranded(now) + self.held_back(now);
         let profile = self.parts().profile_of(job);
@@ -217,15 +217,15 @@
         })
     }
 
-    /// Room for jobs of a class that are likely to come within a boot: what ends meanwhile makes room for half of them, but the
+    /// Resources for jobs of a class that are likely to come within a boot: what ends meanwhile makes room for half of them, but the
     /// largest one must find room at any time.
     fn class_headroom(
         &self,
         now: Time,
-        boot: Span,
+        boot: Duration,
         class: &ClassArrivals,
         rooms: &mut [FreeRoom],
-        kept: &mut BTreeMap<MachineId, Room>,
+        kept: &mut BTreeMap<MachineId, Resources>,
     ) -> Option<Demand> {
         let record = class.largest();
         let expected = class.expected_tasks(now, boot + COMMIT_AND_RENT);
@@ -260,10 +260,13 @@
     /// Replicas that a new leader holds back because a zone does not answer: they are most likely lost with it, and
     /// the machines for them should be up when that is sure.
     fn held_back(&self, now: Time) -> u64 {
-        if self.open() || now.since(self.since) < Span(3000) || self.unfenced_zones().is_subset(&self.led_from_within) {
+        if self.open()
+            || now.since(self.since) < Duration(3000)
+            || self.unfenced_zones().is_subset(&self.led_from_within)
+        {
             return 0;
         }
-        let services = self.book.live().filter(|j| j.record.service && j.durable && !j.ours && !j.cancelling);
+        let services = self.jobs.live().filter(|j| j.record.service && j.durable && !j.ours && !j.cancelling);
         services.map(|j| u64::from(j.pending.len().min(j.record.zone_cap()))).sum()
     }
 
@@ -277,20 +280,20 @@
             }
         }
         let parts = self.parts();
-        let zones: BTreeSet<&String> = self.fleet.flavors().into_iter().flatten().flat_map(|f| &f.zones).collect();
+        let zones: BTreeSet<&String> = self.inventory.flavors().into_iter().flatten().flat_map(|f| &f.zones).collect();
         let elsewhere = |job: &Job| -> u32 {
             let there = parts.by_zone(job);
             let open = zones.iter().filter(|z| self.lost_since(z, now).is_none());
             let placed = |zone: &str| self.names.zone(zone).and_then(|z| there.get(&z).copied()).unwrap_or(0);
             open.map(|z| job.record.zone_cap().saturating_sub(placed(z))).fold(0, u32::saturating_add)
         };
-        jobs.iter().filter_map(|(id, lost)| Some(u64::from(elsewhere(self.book.get(*id)?).min(*lost)))).sum()
+        jobs.iter().filter_map(|(id, lost)| Some(u64::from(elsewhere(self.jobs.get(*id)?).min(*lost)))).sum()
     }
 
     /// Whether ordinary machines may be rented for a task that could wait for a spot machine: several
     /// times as dear, they are for what would else miss an aim that nearly all must meet, and for what
     /// has waited very long.
-    fn worth(&self, job: &Job, now: Time, start: Option<Time>, run: Span, boot: Span) -> bool {
+    fn worth(&self, job: &Job, now: Time, start: Option<Time>, run: Duration, boot: Duration) -> bool {
         let waited = now.since(job.submitted);
         if start.is_none_or(|at| at > now + SPOT_PATIENCE / 4) && waited >= SPOT_PATIENCE {
             return true;
@@ -308,7 +311,7 @@
             return Some(job.deadline());
         }
         let within = self.aims(job, "finished").filter(|o| strict(o)).filter_map(|o| o.within_s);
-        within.reduce(f64::min).map(|within| job.submitted + Span::secs(within))
+        within.reduce(f64::min).map(|within| job.submitted + Duration::secs(within))
     }
 
     /// What the settings aim at for a job's class.
@@ -322,7 +325,7 @@
             return job.deadline();
         }
         let within = self.aims(job, "finished").filter_map(|o| o.within_s).reduce(f64::min);
-        within.map_or(Time(0), |within| job.submitted + Span::secs(within * 0.25))
+        within.map_or(Time(0), |within| job.submitted + Duration::secs(within * 0.25))
     }
 
     /// How many tasks of a job its team's limit lets run at once.
@@ -337,7 +340,7 @@
     }
 
     pub(crate) fn rent(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
-        if self.fleet.renting() || (!self.open() && now.since(self.since) < Span(3000)) {
+        if self.inventory.renting() || (!self.open() && now.since(self.since) < Duration(3000)) {
             return;
         }
         let demands = self.demands(now);
@@ -351,19 +354,20 @@
         for m in self.machines.values() {
             *zones.entry((m.record.zone.clone(), m.record.spot)).or_insert(0) += m.capacity.cpus;
         }
-        for (_, b) in self.fleet.booting() {
-            let cpus = self.fleet.flavor(&b.kind).map_or(0, |f| intake::capacity(f).cpus);
+        for (_, b) in self.inventory.booting() {
+            let cpus = self.inventory.flavor(&b.kind).map_or(0, |f| intake::capacity(f).cpus);
             *zones.entry((b.zone.clone(), b.spot)).or_insert(0) += cpus;
         }
-        let fleet = &self.fleet;
+        let inventory = &self.inventory;
         let (doubtful, empty) = (&self.doubtful, &self.empty_zones);
         let refused = |place: &Place| {
-            fleet.refused(place, now)
+            inventory.refused(place, now)
                 || self.lost_within(&place.1, now, AVOID_ZONE)
                 || doubtful.contains(&place.1)
                 || (empty.contains(&place.1) && self.coming(&place.1))
         };
-        let mut counts = fleet::choose(&demands, self.fleet.flavors().unwrap_or_default(), &refused, &mut zones);
+        let mut counts =
+            inventory::choose(&demands, self.inventory.flavors().unwrap_or_default(), &refused, &mut zones);
         for (_, count) in counts.iter_mut().filter(|(place, _)| empty.contains(&place.1)) {
             *count = 1;
         }
@@ -373,25 +377,25 @@
         let mut calls: Vec<(Place, u32)> = counts
             .into_iter()
             .flat_map(|(place, count)| {
-                let parts = count.div_ceil(fleet::RENT_LIMIT);
-                (0..parts).map(move |i| (place.clone(), (count - i * fleet::RENT_LIMIT).min(fleet::RENT_LIMIT)))
+                let parts = count.div_ceil(inventory::RENT_LIMIT);
+                (0..parts).map(move |i| (place.clone(), (count - i * inventory::RENT_LIMIT).min(inventory::RENT_LIMIT)))
             })
             .collect();
         calls.sort_by_key(|(place, count)| (place.2, std::cmp::Reverse(*count)));
-        for (place, count) in calls.into_iter().take(self.fleet.calls_left()) {
-            self.fleet.rent(now, &place, count, &mut events);
+        for (place, count) in calls.into_iter().take(self.inventory.calls_left()) {
+            self.inventory.rent(now, &place, count, &mut events);
         }
         self.hired(now, wall, events, out);
     }
 
     /// Whether most machines of a zone were seen silent, or not coming up, so lately.
-    fn lost_within(&self, zone: &str, now: Time, span: Span) -> bool {
+    fn lost_within(&self, zone: &str, now: Time, span: Duration) -> bool {
         self.lost_zones.get(zone).is_some_and(|z| now.since(z.seen) < span)
     }
 
     /// Whether a machine is on its way in a zone.
     fn coming(&self, zone: &str) -> bool {
-        self.fleet.booting().any(|(_, b)| b.zone == zone)
+        self.inventory.booting().any(|(_, b)| b.zone == zone)
     }
 
     /// Notes the zones in which no machine is up while others have several.
@@ -401,7 +405,7 @@
     /// do not come up, nothing is planned on those on their way.
     pub(crate) fn doubt_zones(&mut self, now: Time) {
         const SEVERAL: usize = 4;
-        const REMEMBERED: Span = Span(120_000);
+        const REMEMBERED: Duration = Duration(120_000);
         let overdue = self.settings.deployment.workers.overdue();
         let mut up: HashMap<&str, usize> = HashMap::new();
         for m in self.machines.values().filter(|m| m.fenced && now.since(m.reached) < overdue) {
@@ -409,12 +413,12 @@
         }
         let mut empty = BTreeSet::new();
         if up.values().sum::<usize>() >= SEVERAL {
-            let zones = self.fleet.flavors().into_iter().flatten().flat_map(|f| &f.zones);
+            let zones = self.inventory.flavors().into_iter().flatten().flat_map(|f| &f.zones);
             empty.extend(zones.filter(|zone| !up.contains_key(zone.as_str())).cloned());
         }
-        for (_, b) in self.fleet.booting().filter(|(_, b)| empty.contains(&b.zone)) {
-            let boot = self.fleet.flavor(&b.kind).map_or(60.0, |f| f.boot_s);
-            if now.since(b.since) > Span::secs(boot * 1.6 + 3.0) {
+        for (_, b) in self.inventory.booting().filter(|(_, b)| empty.contains(&b.zone)) {
+            let boot = self.inventory.flavor(&b.kind).map_or(60.0, |f| f.boot_s);
+            if now.since(b.since) > Duration::secs(boot * 1.6 + 3.0) {
                 self.lost_zones.entry(b.zone.clone()).or_insert(LostZone { since: now, seen: now }).seen = now;
             }
         }
@@ -422,7 +426,7 @@
         let doubtful: BTreeSet<String> = empty.iter().filter(lost).cloned().collect();
         if doubtful != self.doubtful {
             self.doubtful = doubtful;
-            self.changed.extend(self.fleet.booting().map(|(id, _)| *id));
+            self.changed.extend(self.inventory.booting().map(|(id, _)| *id));
         }
         self.empty_zones = empty;
     }
@@ -431,10 +435,10 @@
     fn probes(&self, now: Time) -> Vec<Place> {
         let none_coming = |zone: &&String| !self.lost_within(zone, now, AVOID_ZONE) && !self.coming(zone);
         let cheapest = |zone: &String| {
-            let here = self.fleet.flavors().into_iter().flatten().filter(|f| f.zones.contains(zone));
+            let here = self.inventory.flavors().into_iter().flatten().filter(|f| f.zones.contains(zone));
             let places = here.flat_map(|f| [(f.spot_price, f, true), (f.price, f, false)]);
             let places = places.map(|(price, f, spot)| (price, (f.name.clone(), zone.clone(), spot)));
-            let open = places.filter(|(_, place)| !self.fleet.refused(place, now));
+            let open = places.filter(|(_, place)| !self.inventory.refused(place, now));
             open.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, place)| place)
         };
         self.doubtful.iter().filter(none_coming).filter_map(cheapest).collect()
@@ -444,12 +448,12 @@
     /// moved within a fraction of a second, and an ordinary machine is dear.
     pub(crate) fn consolidate(&mut self, now: Time) {
         // A start counts only if the task is not stopped within 30 s.
-        const SETTLED: Span = Span(40_000);
+        const SETTLED: Duration = Duration(40_000);
         let draining = self.machines.values().any(|m| m.draining == Some(CONSOLIDATED));
-        if !self.open() || draining || now.since(self.since) < SETTLED || self.fleet.renting() {
+        if !self.open() || draining || now.since(self.since) < SETTLED || self.inventory.renting() {
             return;
         }
-        let boots = self.fleet.flavors().into_iter().flatten().map(|f| f.boot_s).fold(0.0, f64::max);
+        let boots = self.inventory.flavors().into_iter().flatten().map(|f| f.boot_s).fold(0.0, f64::max);
         let overdue = self.settings.deployment.workers.overdue();
         let mut best: Option<(u64, MachineId)> = None;
         for (id, m) in self.machines.iter().filter(|(_, m)| m.usable() && !m.record.spot && m.in_reach(now, overdue)) {
@@ -459,10 +463,10 @@
             if services.is_empty() || !others.is_empty() || !services.iter().all(|h| settled(h)) {
                 continue;
             }
-            if now.since(m.since) < Span(60_000) || self.plans.server(*id).is_some_and(|s| !s.queue.is_empty()) {
+            if now.since(m.since) < Duration(60_000) || self.plans.server(*id).is_some_and(|s| !s.queue.is_empty()) {
                 continue;
             }
-            let price = self.fleet.flavor(&m.record.kind).map_or(0.0, |f| f.price);
+            let price = self.inventory.flavor(&m.record.kind).map_or(0.0, |f| f.price);
             let saving = (price * 1e4) as u64 / (services.len() as u64);
             if best.is_none_or(|(other, _)| saving > other) && self.fits_elsewhere(*id, &services, boots) {
                 best = Some((saving, *id));
@@ -484,7 +488,7 @@
     fn fits_elsewhere(&self, from: MachineId, services: &[&Hold], boot_s: f64) -> bool {
         let parts = self.parts();
         let overdue = self.settings.deployment.workers.overdue();
-        let mut rooms: Vec<(&Machine, Room)> = self
+        let mut rooms: Vec<(&Machine, Resources)> = self
             .machines
             .values()
             // One that is out of reach, as all are in a zone that is cut off, is no place to move to.
@@ -495,7 +499,7 @@
         rooms.sort_by_key(|(_, room)| room.cpus);
         let mut moved: HashMap<(JobId, usize), u32> = HashMap::new();
         for hold in services {
-            let Some(job) = self.book.get(hold.task.job) else { return false };
+            let Some(job) = self.jobs.get(hold.task.job) else { return false };
             let zones = parts.by_zone(job);
             let mut found = false;
             for (m, room) in &mut rooms {
@@ -523,7 +527,7 @@
 
     /// Gives back what has been idle: a machine costs a minimum that is better used than wasted.
     pub(crate) fn return_idle(&mut self, now: Time) {
-        const MINIMUM_CHARGE: Span = Span(60_000);
+        const MINIMUM_CHARGE: Duration = Duration(60_000);
         let overdue = self.settings.deployment.workers.overdue();
         let mut idle = Vec::new();
         for (id, m) in &mut self.machines {
@@ -545,7 +549,7 @@
                 m.draining = Some("idle");
             }
             self.plans.remove(id);
-            self.fleet.give_back(id, "idle");
+            self.inventory.give_back(id, "idle");
         }
     }
 }
--- a/src/records.rs
+++ b/src/records.rs
@@ -8,7 +8,7 @@
 
 use crate::intake::JobRecord;
 use crate::store::{Reply, StateCall, condition};
-use crate::units::{EntryNo, JobId, MachineId, Ranges, Revision, Span, TaskId, Time, Token, Wall};
+use crate::units::{Duration, EntryNo, JobId, MachineId, Ranges, Revision, TaskId, Time, Token, Wall};
 use crate::upgrade::Format;
 use crate::wire::{Change, KeyPage, KeyValue, Txn, TxnAnswer};
 use serde::{Deserialize, Serialize};
@@ -138,7 +138,7 @@
     format: Format,
     value_bytes: usize,
     txn_ops: usize,
-    commit_every: Span,
+    commit_every: Duration,
     refill: f64,
     /// What `refill` falls to when the state service says that changes are too many.
     lowered: f64,
@@ -176,7 +176,7 @@
     snapshots: u64,
 }
 
-const CALL_TIMEOUT: Span = Span(1500);
+const CALL_TIMEOUT: Duration = Duration(1500);
 const MANIFEST: &str = "snap/manifest";
 /// Ranges of tasks in one fact: it fits into a value of 2 KiB.
 pub const RANGES_LIMIT: usize = 60;
@@ -441,10 +441,10 @@
         }
         if !ok && let Some(flight) = self.in_flight.get_mut(at) {
             let pause = match (reply.status, &purpose) {
-                (0, _) => Span(50),
+                (0, _) => Duration(50),
                 // Users' commits go first.
-                (429, Purpose::Snapshot) => Span(1000),
-                _ => Span(250),
+                (429, Purpose::Snapshot) => Duration(1000),
+                _ => Duration(250),
             };
             flight.retry_at = Some(now + pause);
         }
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -2,7 +2,7 @@
 
 use super::Message;
 use crate::controller::{Input, Slot};
-use crate::fleet::CloudCall;
+use crate::inventory::CloudCall;
 use crate::settings::Settings;
 use crate::store::{Reply, StateCall};
 use crate::term::COMMAND_TIMEOUT;
--- a/src/runtime/load.rs
+++ b/src/runtime/load.rs
@@ -1,23 +1,23 @@
 //! How busy this node is: what it took and did, and by how much it is late.
 
 use crate::controller::{Effect, Input};
-use crate::units::{Span, Time};
+use crate::units::{Duration as Milliseconds, Time};
 use log::{debug, warn};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
 /// How often a node says how busy it is.
-const SAY_EVERY: Span = Span(10_000);
+const SAY_EVERY: Milliseconds = Milliseconds(10_000);
 /// A node is behind whose ticks are late, or whose inputs wait, for so long.
-const BEHIND: Span = Span(400);
+const BEHIND: Milliseconds = Milliseconds(400);
 
 /// Measures how long what is ready waits for its turn: a task that is started now has it after all the others.
 #[derive(Debug)]
 pub struct Probe {
     asked: Option<Instant>,
     answer: Arc<AtomicU64>,
-    told: Span,
+    told: Milliseconds,
 }
 
 /// The probe has not had its turn.
@@ -28,11 +28,11 @@
 impl Probe {
     /// A probe that has measured nothing yet.
     pub fn new() -> Probe {
-        Probe { asked: None, answer: Arc::new(AtomicU64::new(WAITING)), told: Span(0) }
+        Probe { asked: None, answer: Arc::new(AtomicU64::new(WAITING)), told: Milliseconds(0) }
     }
 
     /// Starts a measurement unless one is under way; how long inputs wait, if that has changed.
-    pub fn look(&mut self) -> Option<Span> {
+    pub fn look(&mut self) -> Option<Milliseconds> {
         let wait = match (self.asked, self.answer.load(Ordering::Relaxed)) {
             (Some(asked), WAITING) => asked.elapsed().as_millis() as u64,
             (_, WAITING) => 0,
@@ -47,7 +47,7 @@
         // It falls slowly, so that one quiet moment does not bring all the work back.
         let wait = wait.max(self.told.0 * 3 / 4);
         (wait.abs_diff(self.told.0) >= GRAIN || (wait < GRAIN && self.told.0 > 0)).then(|| {
-            self.told = Span(if wait < GRAIN { 0 } else { wait });
+            self.told = Milliseconds(if wait < GRAIN { 0 } else { wait });
             self.told
         })
     }
@@ -56,11 +56,11 @@
 /// What a node took and did since it said so last.
 #[derive(Debug)]
 pub struct Load {
-    every: Span,
+    every: Milliseconds,
     said: Time,
     ticked: Time,
-    late: Span,
-    behind: Span,
+    late: Milliseconds,
+    behind: Milliseconds,
     reports: u32,
     users: u32,
     answers: u32,
@@ -72,11 +72,11 @@
     /// Of a node that ticks this often.
     pub fn new(every: std::time::Duration) -> Load {
         Load {
-            every: Span(every.as_millis() as u64),
+            every: Milliseconds(every.as_millis() as u64),
             said: Time::START,
             ticked: Time::START,
-            late: Span(0),
-            behind: Span(0),
+            late: Milliseconds(0),
+            behind: Milliseconds(0),
             reports: 0,
             users: 0,
             answers: 0,
@@ -108,7 +108,7 @@
 
     /// Notes how late a tick is, and says from time to time how busy the node is.
     fn tick(&mut self, now: Time) {
-        let late = Span(now.since(self.ticked).0.saturating_sub(self.every.0));
+        let late = Milliseconds(now.since(self.ticked).0.saturating_sub(self.every.0));
         self.late = self.late.max(late);
         self.ticked = now;
         if now.since(self.said) < SAY_EVERY {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -8,7 +8,7 @@
 use crate::controller::{Controller, Effect, Input, Origin};
 use crate::peers::{Answer, Frame};
 use crate::settings::Settings;
-use crate::units::{Span, Time, Wall};
+use crate::units::{Duration as Milliseconds, Time, Wall};
 use log::{debug, info};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::collections::HashMap;
@@ -22,7 +22,7 @@
 /// How often time passes for the core.
 const TICK: Duration = Duration::from_millis(50);
 /// An input that comes so long after the last tick takes the next one along: waking up costs more than a tick does.
-const TICK_ALONG: Span = Span(40);
+const TICK_ALONG: Milliseconds = Milliseconds(40);
 
 /// What tasks tell the core's loop.
 #[derive(Debug)]
@@ -104,7 +104,7 @@
             }
             None => return Ok(()),
         };
-        let now = Time::START + Span(start.elapsed().as_millis() as u64);
+        let now = Time::START + Milliseconds(start.elapsed().as_millis() as u64);
         load.took(now, &input);
         if matches!(input, Input::Tick) {
             ticked = now;
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -1,11 +1,11 @@
 //! Where plan, jobs and machines meet: what is planned, started and pushed aside.
 
 use crate::controller::Effect;
-use crate::fleet;
 use crate::intake::{self, Job};
+use crate::inventory;
 use crate::plan::{self, Entry, Order, Profile, Server, World, Zones};
 use crate::term::Term;
-use crate::units::{JobId, MachineId, Room, Span, TaskAttempt, TaskId, Time, Wall};
+use crate::units::{Duration, JobId, MachineId, Resources, TaskAttempt, TaskId, Time, Wall};
 use crate::workers::{Doubt, Hold, Machine, Phase};
 use log::{debug, info};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -16,27 +16,27 @@
 mod starts;
 
 /// Least time between two plannings: a controller has a tenth of a core.
-const SCHEDULE_EVERY: Span = Span(100);
+const SCHEDULE_EVERY: Duration = Duration(100);
 /// Least time between two looks at what to rent and return.
-const DEMAND_EVERY: Span = Span(500);
+const DEMAND_EVERY: Duration = Duration(500);
 /// Tasks of one job that are planned at once.
 const BATCH: u32 = 128;
 
 /// Machines that a round of planning looks at, over all jobs: a few milliseconds.
 const LOOKS: usize = 20_000;
 /// A job of which nothing has begun for so long is promoted, so that it begins within four minutes.
-const FORSAKEN: Span = Span(120_000);
+const STARVED_AFTER: Duration = Duration(120_000);
 /// To this rank, for its first task: before all but services, which it must not push aside.
 const PROMOTED: u8 = 1;
 
 /// Used by tasks of which nothing is known: no limited team may start anything beside it.
-const UNKNOWN: Room = Room { cpus: u64::MAX >> 32, gpus: u64::MAX >> 32, memory: u64::MAX >> 32 };
+const UNKNOWN: Resources = Resources { cpus: u64::MAX >> 32, gpus: u64::MAX >> 32, memory: u64::MAX >> 32 };
 
 /// The parts of a term that planning reads, borrowed beside the plan itself.
 pub(crate) struct View<'a> {
-    book: &'a intake::JobBook,
+    jobs: &'a intake::JobStore,
     machines: &'a BTreeMap<MachineId, Machine>,
-    fleet: &'a fleet::Fleet,
+    inventory: &'a inventory::Inventory,
     correction: crate::plan::Correction,
     names: &'a Names,
 }
@@ -72,15 +72,15 @@
     /// The same for any job like this one.
     pub(crate) fn profile_for(&self, record: &intake::JobRecord, avoid: Vec<MachineId>) -> Profile {
         let kinds = self.names.kinds.iter().map(|kind| {
-            let flavor = self.fleet.flavor(kind)?;
+            let flavor = self.inventory.flavor(kind)?;
             let named = record.types.as_ref().is_none_or(|types| types.contains(kind));
             if !named || !record.need.fits(&intake::capacity(flavor)) {
                 return None;
             }
             let fetch = if flavor.fetch_gb_per_s > 0.0 {
-                Span((record.image_mb as f64 / flavor.fetch_gb_per_s) as u64)
+                Duration((record.image_mb as f64 / flavor.fetch_gb_per_s) as u64)
             } else {
-                Span(0)
+                Duration(0)
             };
             let estimate = record.estimate;
             Some((self.correction.predict(estimate), self.correction.predict(estimate + fetch)))
@@ -97,11 +97,11 @@
 
 impl World for View<'_> {
     fn profile(&self, job: JobId) -> Option<Profile> {
-        Some(self.profile_of(self.book.get(job)?))
+        Some(self.profile_of(self.jobs.get(job)?))
     }
 
     fn zones(&self, job: JobId, planned: &BTreeMap<usize, u32>) -> Zones {
-        let Some(job) = self.book.get(job) else { return Zones::default() };
+        let Some(job) = self.jobs.get(job) else { return Zones::default() };
         let mut taken = self.by_zone(job);
         for (zone, n) in planned {
             *taken.entry(*zone).or_insert(0) += n;
@@ -178,10 +178,10 @@
         order: order_of(job),
         count: 1,
         need: job.record.need,
-        run: Span(0),
+        run: Duration(0),
         endless: job.record.service,
         deadline: job.deadline(),
-        tied: job.record.together || job.record.spread,
+        constrained: job.record.together || job.record.spread,
         gang: job.gang.is_some(),
         // By its own rank: a better one that it was given for its turn stops nobody.
         pushes_aside: ((job.record.service && job.record.rank == 0) || job.gang.is_some()).then_some(job.record.rank),
@@ -192,12 +192,12 @@
 /// When a hold is predicted to give its room back.
 fn release(hold: &Hold, now: Time) -> Option<Time> {
     if hold.stop.is_some() {
-        return Some(now + Span(100));
+        return Some(now + Duration(100));
     }
     let predicted = hold.predicted?;
     let end = hold.since + predicted;
     // Overdue: most likely it ends soon, but not at once.
-    Some(end.max(now + Span((predicted.0 / 10).max(300))))
+    Some(end.max(now + Duration((predicted.0 / 10).max(300))))
 }
 
 /// Whether a task may be stopped to make room for one of this rank: it must be of a lower one, end by
@@ -211,23 +211,23 @@
 impl Term {
     pub(crate) fn parts(&self) -> View<'_> {
         View {
-            book: &self.book,
+            jobs: &self.jobs,
             machines: &self.machines,
-            fleet: &self.fleet,
+            inventory: &self.inventory,
             correction: self.correction,
             names: &self.names,
         }
     }
 
     /// How often to plan, and to look at everything: less often when behind, for more tasks at once.
-    fn pace(&self) -> (Span, Span) {
-        let paced = |every: Span, most: u64| Span((every.0 + 2 * self.behind.0).min(most));
+    fn planning_intervals(&self) -> (Duration, Duration) {
+        let paced = |every: Duration, most: u64| Duration((every.0 + 2 * self.behind.0).min(most));
         (paced(SCHEDULE_EVERY, 1000), paced(DEMAND_EVERY, 3000))
     }
 
     pub(crate) fn maybe_schedule(&mut self, now: Time, wall: Wall, certain: bool, out: &mut Vec<Effect>) {
-        let (every, look_every) = self.pace();
-        if !self.loaded() || self.fleet.flavors().is_none() || now.since(self.scheduled) < every {
+        let (every, look_every) = self.planning_intervals();
+        if !self.loaded() || self.inventory.flavors().is_none() || now.since(self.scheduled) < every {
             return;
         }
         let look = now.since(self.demanded) >= look_every;
@@ -257,7 +257,7 @@
         self.tend_gangs(now);
         let everything = look || self.limited();
         if everything {
-            self.promote_forsaken(now);
+            self.promote_starved(now);
             let ids: Vec<MachineId> = self.plans.servers().filter(|s| !s.queue.is_empty()).map(|s| s.id).collect();
             self.plans.release_stuck(now, ids.into_iter());
             self.unplan_gangs();
@@ -280,7 +280,7 @@
     ///
     /// Its report is about to be answered, and what is ordered with the answer needs no command: each of those took a
     /// connection, and at 980 machines they were more than half of a leader's work.
-    pub(crate) fn go_on(&mut self, now: Time, id: MachineId) {
+    pub(crate) fn start_next(&mut self, now: Time, id: MachineId) {
         if self.plans.server(id).is_none() || !self.machines.get(&id).is_some_and(Machine::usable) {
             return;
         }
@@ -300,8 +300,8 @@
 
     /// Brings the plan's machines up to date, as far as something changed.
     fn refresh(&mut self, now: Time) {
-        if self.fleet.take_news() {
-            self.changed.extend(self.fleet.booting().map(|(id, _)| *id));
+        if self.inventory.take_news() {
+            self.changed.extend(self.inventory.booting().map(|(id, _)| *id));
         }
         let mut fresh = Vec::new();
         for id in std::mem::take(&mut self.changed) {
@@ -318,26 +318,26 @@
 
     /// A machine as the plan sees it; `None` if nothing may be planned there.
     fn server_of(&mut self, now: Time, id: MachineId) -> Option<Server> {
-        if self.fleet.is_returning(id) {
+        if self.inventory.is_returning(id) {
             return None;
         }
         // Services fill cheap machines that are in use; other tasks go to spot machines first. The
         // fuller machine is preferred, so that others become idle and can be given back.
-        let bias = |flavor: &crate::wire::Flavor, spot: bool, free: &Room| {
+        let bias = |flavor: &crate::wire::Flavor, spot: bool, free: &Resources| {
             let price = (flavor.price / flavor.cpus.max(1.0) * 1e4) as u64;
             (price << 32 | free.cpus, u64::from(!spot) << 32 | free.cpus)
         };
         if let Some(m) = self.machines.get_mut(&id) {
             let overdue = self.settings.deployment.workers.overdue();
-            let flavor = self.fleet.flavor(&m.record.kind)?;
-            if m.capacity == Room::default() {
+            let flavor = self.inventory.flavor(&m.record.kind)?;
+            if m.capacity == Resources::default() {
                 m.capacity = intake::capacity(flavor);
             }
             if m.draining.is_some() || m.notice.is_some() || !m.in_reach(now, overdue) {
                 return None;
             }
-            let mut releases: Vec<(Time, Room)> = Vec::new();
-            let mut soft = [Room::default(); plan::PUSHING_RANKS];
+            let mut releases: Vec<(Time, Resources)> = Vec::new();
+            let mut soft = [Resources::default(); plan::PUSHING_RANKS];
             for hold in m.holds.values().filter(|h| h.occupies()) {
                 releases.extend(release(hold, now).map(|at| (at, hold.need)));
                 for (rank, room) in (0..).zip(&mut soft) {
@@ -353,7 +353,7 @@
                 kind: index_of(&mut self.names.kinds, &m.record.kind),
                 spot: m.record.spot,
                 ready: now,
-                slack: if m.usable() { Span(0) } else { Span(500) },
+                slack: if m.usable() { Duration(0) } else { Duration(500) },
                 bias: bias(flavor, m.record.spot, &free),
                 free,
                 soft,
@@ -363,16 +363,16 @@
                 ..Server::default()
             });
         }
-        let b = self.fleet.booting_one(id).filter(|b| !self.doubtful.contains(&b.zone))?;
-        let flavor = self.fleet.flavor(&b.kind)?;
+        let b = self.inventory.booting_one(id).filter(|b| !self.doubtful.contains(&b.zone))?;
+        let flavor = self.inventory.flavor(&b.kind)?;
         let free = intake::capacity(flavor);
         Some(Server {
             id,
             zone: index_of(&mut self.names.zones, &b.zone),
             kind: index_of(&mut self.names.kinds, &b.kind),
             spot: b.spot,
-            ready: b.since + Span::secs(flavor.boot_s * 1.05),
-            slack: Span(2000),
+            ready: b.since + Duration::secs(flavor.boot_s * 1.05),
+            slack: Duration(2000),
             bias: bias(flavor, b.spot, &free),
             free,
             ..Server::default()
@@ -383,20 +383,20 @@
     ///
     /// The paper's priorities are absolute: under a lasting overload of a higher one, a lower one would
     /// never start (docs/design.md, exception 8).
-    fn promote_forsaken(&mut self, now: Time) {
-        let forsaken: Vec<JobId> = self
-            .book
+    fn promote_starved(&mut self, now: Time) {
+        let starved: Vec<JobId> = self
+            .jobs
             .waiting()
             .filter(|j| {
                 let begun = !j.placed.is_empty() || !j.done.is_empty();
-                j.urgency > PROMOTED && !begun && self.startable(j, now) && now.since(j.submitted) >= FORSAKEN
+                j.urgency > PROMOTED && !begun && self.startable(j, now) && now.since(j.submitted) >= STARVED_AFTER
             })
             .map(|j| j.record.id)
             .collect();
-        for id in forsaken {
+        for id in starved {
             info!("promoted {id}: nothing of it has begun");
             self.plans.remove_job(id);
-            self.book.promote(id, PROMOTED);
+            self.jobs.promote(id, PROMOTED);
         }
     }
 
@@ -405,10 +405,10 @@
     /// Half of a round begins with the most important job, the other half where the last round stopped. When all began
     /// with the most important one, some services that found no room anywhere kept everything else from being
     /// looked at, for as long as they waited.
-    fn plan_waiting(&mut self, now: Time, used: &HashMap<String, Room>) {
-        self.book.settle_waiting();
+    fn plan_waiting(&mut self, now: Time, used: &HashMap<String, Resources>) {
+        self.jobs.settle_waiting();
         let waiting: Vec<(JobId, u32)> = self
-            .book
+            .jobs
             .waiting()
             .filter(|j| self.startable(j, now) && self.within_limit(used, j, 1))
             .filter_map(|j| {
@@ -423,7 +423,7 @@
             })
             .collect();
         // Like tasks that found no machine in this round are not tried one by one, nor larger ones.
-        let mut hopeless: Vec<(Room, bool, bool)> = Vec::new();
+        let mut hopeless: Vec<(Resources, bool, bool)> = Vec::new();
         let mut looks = 0;
         let top = self.plan_some(now, &waiting, LOOKS / 2, &mut looks, &mut hopeless);
         let rest = &waiting[top..];
@@ -444,14 +444,14 @@
         waiting: &[(JobId, u32)],
         most: usize,
         looks: &mut usize,
-        hopeless: &mut Vec<(Room, bool, bool)>,
+        hopeless: &mut Vec<(Resources, bool, bool)>,
     ) -> usize {
         let servers = self.plans.servers().count();
         for (turn, (id, left)) in waiting.iter().enumerate() {
             if *looks >= most {
                 return turn;
             }
-            let Some(job) = self.book.get_mut(*id) else { continue };
+            let Some(job) = self.jobs.get_mut(*id) else { continue };
             job.looked = now;
             let (need, spot, service) = (job.record.need, job.record.spot, job.record.service);
             let plain = job.record.types.is_none() && job.record.zone.is_none();
@@ -469,7 +469,7 @@
             let parts = self.parts();
             let placed = plans.place(now, entry, want, &parts);
             self.plans = plans;
-            if placed < want && plain && !entry.tied {
+            if placed < want && plain && !entry.constrained {
                 hopeless.push((need, spot, service));
             }
         }
--- a/src/scheduling/gangs.rs
+++ b/src/scheduling/gangs.rs
@@ -5,7 +5,7 @@
 use crate::gang;
 
 /// How long the tasks of a gang wait for one that was lost before all are stopped and tried again.
-const REPLACE_WITHIN: Span = Span(5000);
+const REPLACE_WITHIN: Duration = Duration(5000);
 /// Share of `gang_wait_s` after which a gang that is not complete is stopped: its workers would give up at the end of it.
 const GATHER_SHARE: f64 = 0.6;
 
@@ -24,7 +24,7 @@
 impl Term {
     /// Plans a gang as a whole.
     pub(super) fn plan_gang(&mut self, now: Time, entry: Entry) {
-        let Some(job) = self.book.get(entry.job) else { return };
+        let Some(job) = self.jobs.get(entry.job) else { return };
         let tasks = job.record.tasks;
         // Part of it may have lost its machine since it was planned.
         self.plans.remove_job(entry.job);
@@ -36,14 +36,14 @@
     /// Takes gangs that wait out of the plan, so that they are placed anew by what is known now.
     pub(super) fn unplan_gangs(&mut self) {
         let waiting: Vec<JobId> =
-            self.book.gangs().filter(|j| self.plans.planned(j.record.id) > 0).map(|j| j.record.id).collect();
+            self.jobs.gangs().filter(|j| self.plans.planned(j.record.id) > 0).map(|j| j.record.id).collect();
         for job in waiting {
             self.plans.remove_job(job);
         }
     }
 
     /// Whether all tasks of a gang have room now where they are planned.
-    pub(super) fn gang_may_start(&self, job: &Job, now: Time, used: &HashMap<String, Room>) -> bool {
+    pub(super) fn gang_may_start(&self, job: &Job, now: Time, used: &HashMap<String, Resources>) -> bool {
         let tasks = job.record.tasks;
         if self.plans.planned(job.record.id) != tasks
             || !self.startable(job, now)
@@ -61,9 +61,9 @@
     }
 
     /// Starts all tasks of a gang where they are planned, under one attempt.
-    pub(super) fn start_gang(&mut self, now: Time, id: JobId, used: &mut HashMap<String, Room>) {
+    pub(super) fn start_gang(&mut self, now: Time, id: JobId, used: &mut HashMap<String, Resources>) {
         let slots = self.plans.planned_at(id);
-        let Some(job) = self.book.get(id) else { return };
+        let Some(job) = self.jobs.get(id) else { return };
         let profile = self.parts().profile_of(job);
         let predicted = |machine: &MachineId| self.plans.server(*machine).and_then(|s| profile.predict(s));
         // It runs at the speed of its slowest machine.
@@ -82,7 +82,7 @@
         let (promoted, rank) = (job.promoted(), job.record.rank);
         let attempt = self.next_attempt();
         self.plans.remove_job(id);
-        if let Some(gang) = self.book.get_mut(id).and_then(|job| job.gang.as_mut()) {
+        if let Some(gang) = self.jobs.get_mut(id).and_then(|job| job.gang.as_mut()) {
             gang.start(now, attempt, machines.iter().copied());
         }
         for (index, machine) in (0..).zip(machines) {
@@ -90,7 +90,7 @@
             self.start_attempt(now, machine, key, predicted, used);
         }
         if promoted {
-            self.book.promote(id, rank);
+            self.jobs.promote(id, rank);
         }
     }
 
@@ -100,7 +100,7 @@
         // What is left on each machine after the gangs that are ahead.
         let mut rooms: BTreeMap<MachineId, PressedMachine> = BTreeMap::new();
         let waiting: Vec<JobId> = self.plans.waiting().map(|(_, job, _)| job).collect();
-        let gangs = waiting.into_iter().filter_map(|id| self.book.get(id)).filter(|job| job.gang.is_some());
+        let gangs = waiting.into_iter().filter_map(|id| self.jobs.get(id)).filter(|job| job.gang.is_some());
         for job in gangs.filter(|job| self.startable(job, now)) {
             let id = job.record.id;
             if self.plans.planned(id) != job.record.tasks {
@@ -137,7 +137,7 @@
     pub(super) fn tend_gangs(&mut self, now: Time) {
         let gather_limit = self.settings.deployment.workers.gang_wait().times(GATHER_SHARE);
         let acts: Vec<(JobId, Act)> = self
-            .book
+            .jobs
             .gangs()
             .map(|job| (job.record.id, self.gang_act(job, now, gather_limit)))
             .filter(|(_, act)| *act != Act::Nothing)
@@ -146,13 +146,13 @@
             match act {
                 Act::Nothing => {}
                 Act::Replace => self.replace_lost(now, id),
-                Act::Stop => self.stop_gang(id, Span(0)),
+                Act::Stop => self.stop_gang(id, Duration(0)),
                 Act::Requeue => self.requeue_gang(id),
             }
         }
     }
 
-    fn gang_act(&self, job: &Job, now: Time, gather_limit: Span) -> Act {
+    fn gang_act(&self, job: &Job, now: Time, gather_limit: Duration) -> Act {
         let Some(gang) = &job.gang else { return Act::Nothing };
         if job.cancelling || job.done.len() == job.record.tasks {
             return Act::Nothing;
@@ -193,12 +193,12 @@
     /// Starts the tasks of a gathering gang that were lost with their machines again, under the attempt of the others.
     fn replace_lost(&mut self, now: Time, id: JobId) {
         let used = self.team_use();
-        let Some(job) = self.book.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(gang) = &mut job.gang else { return };
         gang.missing_since.get_or_insert(now);
         let Some(attempt) = gang.attempt else { return };
         let Some(index) = job.pending.first() else { return };
-        let Some(job) = self.book.get(id) else { return };
+        let Some(job) = self.jobs.get(id) else { return };
         if !self.within_limit(&used, job, 1) {
             return;
         }
@@ -211,15 +211,15 @@
         let Some(machine) = best.map(Machine::id) else { return };
         info!("replacing {task} attempt={attempt} machine={machine}");
         let predicted = Some(self.correction.predict(job.record.estimate));
-        if let Some(gang) = self.book.get_mut(id).and_then(|job| job.gang.as_mut()) {
+        if let Some(gang) = self.jobs.get_mut(id).and_then(|job| job.gang.as_mut()) {
             gang.former.insert(machine);
         }
         self.start_attempt(now, machine, TaskAttempt { attempt, task }, predicted, &mut used.clone());
     }
 
     /// Stops all tasks of a gang with the same time for saving; what is told to stop already is left to do so.
-    pub(super) fn stop_gang(&mut self, id: JobId, grace: Span) {
-        let Some(job) = self.book.get_mut(id) else { return };
+    pub(super) fn stop_gang(&mut self, id: JobId, grace: Duration) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(gang) = &mut job.gang else { return };
         gang.stop(grace);
         let gang::Phase::Stopping { grace } = gang.phase else { return };
@@ -234,13 +234,13 @@
 
     /// Nothing of the attempt is left: the gang waits as a whole again.
     fn requeue_gang(&mut self, id: JobId) {
-        let Some(job) = self.book.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(id) else { return };
         if let Some(gang) = &mut job.gang {
             gang.emptied();
         }
         let tasks = job.record.tasks;
         for index in 0..tasks {
-            self.book.waits_again(TaskId { job: id, index });
+            self.jobs.waits_again(TaskId { job: id, index });
         }
         self.dirty = true;
     }
@@ -249,14 +249,14 @@
 /// A machine on which room is made.
 #[derive(Debug, Clone)]
 struct PressedMachine {
-    free: Room,
+    free: Resources,
     /// What may be stopped, least loss first.
     victims: Vec<Victim>,
 }
 
 impl PressedMachine {
     /// Takes room for so many tasks; what has to be stopped for it, or `None` if that is not enough.
-    fn make_room(&mut self, need: &Room, count: u32) -> Option<Vec<TaskAttempt>> {
+    fn make_room(&mut self, need: &Resources, count: u32) -> Option<Vec<TaskAttempt>> {
         let mut stopped = Vec::new();
         for _ in 0..count {
             let enough = victims_needed(need, self.free, &self.victims)?;
--- a/src/scheduling/limits.rs
+++ b/src/scheduling/limits.rs
@@ -4,8 +4,8 @@
 
 impl Term {
     /// What each team's tasks use, or may use; nothing is counted where no team has a limit.
-    pub(super) fn team_use(&self) -> HashMap<String, Room> {
-        let mut used: HashMap<String, Room> = HashMap::new();
+    pub(super) fn team_use(&self) -> HashMap<String, Resources> {
+        let mut used: HashMap<String, Resources> = HashMap::new();
         if !self.limited() {
             return used;
         }
@@ -13,10 +13,10 @@
             for hold in machine.holds.values().filter(|h| h.occupies()) {
                 // A task whose job is over still counts; its team is not known any more, so it
                 // counts for all that are limited.
-                let team = self.book.get(hold.task.job).map_or("", |j| j.record.team.as_str());
-                let need = if hold.need == Room::default() { machine.capacity } else { hold.need };
+                let team = self.jobs.get(hold.task.job).map_or("", |j| j.record.team.as_str());
+                let need = if hold.need == Resources::default() { machine.capacity } else { hold.need };
                 // Of a machine whose room is not known either, anything may be used.
-                let need = if need == Room::default() { UNKNOWN } else { need };
+                let need = if need == Resources::default() { UNKNOWN } else { need };
                 used.entry(team.to_string()).or_default().add(&need);
             }
         }
@@ -24,7 +24,7 @@
     }
 
     /// Whether a team may use this much more.
-    pub(super) fn within_limit(&self, used: &HashMap<String, Room>, job: &Job, times: u64) -> bool {
+    pub(super) fn within_limit(&self, used: &HashMap<String, Resources>, job: &Job, times: u64) -> bool {
         let Some(team) = self.settings.deployment.teams.iter().find(|t| t.name == job.record.team) else {
             return false;
         };
@@ -54,7 +54,7 @@
 
     /// Whether this job's team has a limit.
     pub(super) fn has_limit(&self, job: JobId) -> bool {
-        let Some(job) = self.book.get(job) else { return false };
+        let Some(job) = self.jobs.get(job) else { return false };
         let team = self.settings.deployment.teams.iter().find(|t| t.name == job.record.team);
         team.is_some_and(|t| t.cpus_max > 0.0 || t.gpus_max > 0.0)
     }
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -6,15 +6,15 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Victim {
     pub(super) key: TaskAttempt,
-    pub(super) need: Room,
+    pub(super) need: Resources,
     /// Importance of its job, 0 first.
     pub(super) rank: u8,
     /// The work that it would lose.
-    pub(super) lost: Span,
+    pub(super) lost: Duration,
 }
 
-/// Room of a machine once everything that was told to stop is gone.
-pub(super) fn room_soon(machine: &Machine) -> Room {
+/// Resources of a machine once everything that was told to stop is gone.
+pub(super) fn room_soon(machine: &Machine) -> Resources {
     let mut free = machine.free();
     for hold in machine.holds.values().filter(|h| h.occupies() && h.stop.is_some()) {
         free.add(&hold.need);
@@ -23,7 +23,7 @@
 }
 
 /// How many of these victims, from the first on, have to be stopped so that `need` fits; `None`: all are not enough.
-pub(super) fn victims_needed(need: &Room, mut free: Room, victims: &[Victim]) -> Option<usize> {
+pub(super) fn victims_needed(need: &Resources, mut free: Resources, victims: &[Victim]) -> Option<usize> {
     for (count, victim) in victims.iter().enumerate() {
         if need.fits(&free) {
             return Some(count);
@@ -47,7 +47,7 @@
             let mut free = room_soon(machine);
             let mut victims: Option<Vec<Victim>> = None;
             for entry in server.queue.iter().filter(|e| e.endless && e.order.rank == 0) {
-                if !self.book.get(entry.job).is_some_and(|job| self.startable(job, now)) {
+                if !self.jobs.get(entry.job).is_some_and(|job| self.startable(job, now)) {
                     continue;
                 }
                 for _ in 0..entry.count {
@@ -79,9 +79,9 @@
             .iter()
             .filter(|(_, h)| pushable(h, rank))
             .map(|(key, h)| {
-                let ran = h.running_since.map_or(Span(0), |r| now.since(r));
-                let every = self.book.get(h.task.job).map_or(0, |j| j.record.checkpoint.0);
-                let lost = if every > 0 { Span(ran.0 % every) } else { ran };
+                let ran = h.running_since.map_or(Duration(0), |r| now.since(r));
+                let every = self.jobs.get(h.task.job).map_or(0, |j| j.record.checkpoint.0);
+                let lost = if every > 0 { Duration(ran.0 % every) } else { ran };
                 Victim { key: *key, need: h.need, rank: h.rank, lost }
             })
             .collect();
@@ -91,22 +91,22 @@
 
     /// Saves what can be saved on machines that the cloud takes back.
     pub(super) fn drain_noticed(&mut self, now: Time) {
-        let slack = Span::secs(self.settings.deployment.workers.report_s * 0.5 + 1.0);
+        let slack = Duration::secs(self.settings.deployment.workers.report_s * 0.5 + 1.0);
         let mut stops = Vec::new();
         let mut gangs = Vec::new();
         self.noticed.retain(|id| self.machines.contains_key(id));
         for machine in self.noticed.iter().filter_map(|id| self.machines.get(id)) {
             let Some(until) = machine.notice else { continue };
-            let left = Span(until.0.saturating_sub(now.0));
+            let left = Duration(until.0.saturating_sub(now.0));
             for (key, hold) in machine.holds.iter().filter(|(_, h)| h.claimed && h.occupies() && h.stop.is_none()) {
-                let Some(job) = self.book.get(hold.task.job) else { continue };
+                let Some(job) = self.jobs.get(hold.task.job) else { continue };
                 let ends = release(hold, now).unwrap_or(Time::NEVER);
                 if ends < until {
                     continue;
                 }
                 let save = job.record.save;
-                let grace = if job.record.checkpoint.0 == 0 { Span(0) } else { save };
-                if grace.0 > 0 && left > save + slack + Span(500) {
+                let grace = if job.record.checkpoint.0 == 0 { Duration(0) } else { save };
+                if grace.0 > 0 && left > save + slack + Duration(500) {
                     continue;
                 }
                 match job.gang {
--- a/src/scheduling/starts.rs
+++ b/src/scheduling/starts.rs
@@ -4,7 +4,7 @@
 
 impl Term {
     /// Whether a task of this job may start on this machine at this moment.
-    pub(super) fn may_start(&self, job: &Job, machine: &Machine, now: Time, used: &HashMap<String, Room>) -> bool {
+    pub(super) fn may_start(&self, job: &Job, machine: &Machine, now: Time, used: &HashMap<String, Resources>) -> bool {
         let startable = job.gang.is_none() && self.startable(job, now);
         machine.usable()
             && startable
@@ -39,12 +39,12 @@
     }
 
     /// Starts what has room on the machine that it was planned for.
-    pub(super) fn start_planned(&mut self, now: Time, ids: &[MachineId], used: &mut HashMap<String, Room>) {
+    pub(super) fn start_planned(&mut self, now: Time, ids: &[MachineId], used: &mut HashMap<String, Resources>) {
         for id in ids.iter().copied() {
             let mut at = 0;
             let mut kept = Reservation::default();
             while let Some(entry) = self.plans.server(id).and_then(|s| s.queue.get(at)).copied() {
-                let (Some(machine), Some(job)) = (self.machines.get(&id), self.book.get(entry.job)) else { break };
+                let (Some(machine), Some(job)) = (self.machines.get(&id), self.jobs.get(entry.job)) else { break };
                 if !machine.usable() {
                     break;
                 }
@@ -72,18 +72,18 @@
         }
     }
 
-    pub(super) fn start_task(&mut self, now: Time, id: MachineId, entry: Entry, used: &mut HashMap<String, Room>) {
+    pub(super) fn start_task(&mut self, now: Time, id: MachineId, entry: Entry, used: &mut HashMap<String, Resources>) {
         let attempt = self.next_attempt();
-        let Some(job) = self.book.get(entry.job) else { return };
+        let Some(job) = self.jobs.get(entry.job) else { return };
         let Some(machine) = self.machines.get(&id) else { return };
         let known = |index: &u32| machine.knows(TaskId { job: entry.job, index: *index });
         let Some(index) = job.pending.iter().take(64).find(|index| !known(index)) else { return };
         let key = TaskAttempt { attempt, task: TaskId { job: entry.job, index } };
         self.start_attempt(now, id, key, (!entry.endless).then_some(entry.run), used);
-        let Some(job) = self.book.get(entry.job) else { return };
+        let Some(job) = self.jobs.get(entry.job) else { return };
         let (promoted, rank) = (job.promoted(), job.record.rank);
         if promoted {
-            self.book.promote(entry.job, rank);
+            self.jobs.promote(entry.job, rank);
         }
     }
 
@@ -93,14 +93,14 @@
         now: Time,
         id: MachineId,
         key: TaskAttempt,
-        predicted: Option<Span>,
-        used: &mut HashMap<String, Room>,
+        predicted: Option<Duration>,
+        used: &mut HashMap<String, Resources>,
     ) {
-        let Some(job) = self.book.get_mut(key.task.job) else { return };
+        let Some(job) = self.jobs.get_mut(key.task.job) else { return };
         let Some(machine) = self.machines.get_mut(&id) else { return };
         job.pending.remove(key.task.index);
         job.placed.insert(key.task.index, intake::Placed { machine: id, key, running: false });
-        debug!("start {key} machine={id} predicted={:?}s", predicted.map(Span::as_secs));
+        debug!("start {key} machine={id} predicted={:?}s", predicted.map(Duration::as_secs));
         used.entry(job.record.team.clone()).or_default().add(&job.record.need);
         machine.idle_since = None;
         machine.holds.insert(
@@ -133,7 +133,7 @@
     }
 
     /// Machines with nothing planned take the highest-priority fitting task from other plans.
-    pub(super) fn steal(&mut self, now: Time, ids: &[MachineId], used: &mut HashMap<String, Room>) {
+    pub(super) fn steal(&mut self, now: Time, ids: &[MachineId], used: &mut HashMap<String, Resources>) {
         for id in ids.iter().copied() {
             for _ in 0..64 {
                 if self.plans.waiting().next().is_none() {
@@ -148,7 +148,7 @@
                 plans.set_free(id, free);
                 let parts = self.parts();
                 let taken = plans.steal(id, &|entry, me| {
-                    let job = self.book.get(entry.job)?;
+                    let job = self.jobs.get(entry.job)?;
                     if !self.may_start(job, machine, now, used) {
                         return None;
                     }
@@ -163,10 +163,10 @@
     }
 }
 
-/// Room of a machine that is kept for gangs that are ahead in its queue and wait for room elsewhere.
+/// Resources of a machine that is kept for gangs that are ahead in its queue and wait for room elsewhere.
 #[derive(Debug, Default)]
 struct Reservation {
-    room: Room,
+    room: Resources,
     /// When the first of them is predicted to need it.
     from: Option<Time>,
 }
@@ -183,7 +183,7 @@
 
     /// Whether a task that is behind them in the queue may start now: beside what is kept, or because it is predicted to be over
     /// before that is needed. So kept room does not lie idle while a gang waits long, and no gang is starved by short tasks.
-    fn leaves_room(&self, entry: &Entry, free: &Room, now: Time) -> bool {
+    fn leaves_room(&self, entry: &Entry, free: &Resources, now: Time) -> bool {
         let Some(from) = self.from else { return true };
         let mut left = *free;
         left.sub(&self.room);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a node is told at its start: the platform's TOML and the operators' INI.
 
-use crate::units::Span;
+use crate::units::Duration;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -99,13 +99,13 @@
     /// Limits of the cloud.
     pub cloud: CloudLimits,
     /// Limits of this process.
-    pub resources: Resources,
+    pub resources: ProcessLimits,
 }
 
 impl Deployment {
     /// Classes with an aim at starting within less than this.
-    pub fn classes_to_start_within(&self, limit: Span) -> BTreeSet<String> {
-        let soon = |o: &&Objective| o.kind == "wait" && o.within_s.is_some_and(|within| Span::secs(within) < limit);
+    pub fn classes_to_start_within(&self, limit: Duration) -> BTreeSet<String> {
+        let soon = |o: &&Objective| o.kind == "wait" && o.within_s.is_some_and(|within| Duration::secs(within) < limit);
         self.objectives.iter().filter(soon).map(|o| o.class.clone()).collect()
     }
 }
@@ -219,7 +219,7 @@
 
 /// Limits of this process.
 #[derive(Debug, Clone, Deserialize)]
-pub struct Resources {
+pub struct ProcessLimits {
     /// Share of a core.
     #[serde(default = "default_cpu")]
     pub cpu: f64,
@@ -233,30 +233,30 @@
 
 impl WorkerTimes {
     /// A machine that nothing has reached for so long gets no further tasks: two reports and a little.
-    pub fn overdue(&self) -> Span {
-        Span::secs(self.report_s * 2.0 + 2.0)
+    pub fn overdue(&self) -> Duration {
+        Duration::secs(self.report_s * 2.0 + 2.0)
     }
 
     /// When so many workers that report regularly are silent for so long, it is not by chance: each reports
     /// within the longest interval, and of many some do in a small part of it.
-    pub fn silence(&self, workers: usize) -> Span {
+    pub fn silence(&self, workers: usize) -> Duration {
         let gaps = 20.0 * self.report_s / workers.max(1) as f64;
-        Span::secs(gaps.clamp(1.5, (self.report_s * 1.25 + 0.5).max(1.5)))
+        Duration::secs(gaps.clamp(1.5, (self.report_s * 1.25 + 0.5).max(1.5)))
     }
 
     /// How long the tasks of a gang wait for each other.
-    pub fn gang_wait(&self) -> Span {
-        Span::secs(self.gang_wait_s)
+    pub fn gang_wait(&self) -> Duration {
+        Duration::secs(self.gang_wait_s)
     }
 
     /// A copy of a message may come well over a lease late; after this time none is expected any more. With two leases a copy of a start
     /// that came 35 s late, at a lease of 16 s, found its attempt forgotten and ran it again.
-    pub fn copies_over(&self) -> Span {
-        Span::secs(self.lease_s * 2.5)
+    pub fn copies_over(&self) -> Duration {
+        Duration::secs(self.lease_s * 2.5)
     }
 }
 
-impl Resources {
+impl ProcessLimits {
     /// Direct commands that may be under way at once: most sockets are for workers and users.
     pub fn commands_at_once(&self) -> usize {
         (self.fd_limit / 12).clamp(8, 200) as usize
@@ -308,18 +308,18 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tuning {
     /// Life of the leadership lease.
-    pub leader_lease: Span,
+    pub leader_lease: Duration,
     /// Least time between two commits.
-    pub commit_every: Span,
+    pub commit_every: Duration,
     /// How long an idle ordinary machine is kept.
-    pub idle_ordinary: Span,
+    pub idle_ordinary: Duration,
     /// How long an idle spot machine is kept.
-    pub idle_spot: Span,
+    pub idle_spot: Duration,
     /// Log entries between two snapshots.
     pub snapshot_every: u64,
     /// Ordinary machines are paid for tasks that could wait only for aims of at least this share.
     pub strict_aim: f64,
-    /// Room is kept for so many times the services that are likely to come within a boot: they come in
+    /// Resources is kept for so many times the services that are likely to come within a boot: they come in
     /// bursts, and dying machines need it too.
     pub room_ahead: f64,
 }
@@ -327,10 +327,10 @@
 impl Default for Tuning {
     fn default() -> Self {
         Tuning {
-            leader_lease: Span(1500),
-            commit_every: Span(150),
-            idle_ordinary: Span(25_000),
-            idle_spot: Span(12_000),
+            leader_lease: Duration(1500),
+            commit_every: Duration(150),
+            idle_ordinary: Duration(25_000),
+            idle_spot: Duration(12_000),
             snapshot_every: 200,
             strict_aim: 0.875,
             room_ahead: 3.0,
@@ -354,7 +354,7 @@
                     }
                 };
                 let number = |low, high| within("number", low, high);
-                let seconds = |low, high| Ok::<_, SettingsError>(Span::secs(within("time in seconds", low, high)?));
+                let seconds = |low, high| Ok::<_, SettingsError>(Duration::secs(within("time in seconds", low, high)?));
                 match path.as_str() {
                     "leadership.lease_s" => tuning.leader_lease = seconds(0.5, 60.0)?,
                     "records.commit_every_s" => tuning.commit_every = seconds(0.02, 2.0)?,
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -90,7 +90,7 @@
 #[test]
 fn open_jobs_and_connections_fit_into_the_memory() {
     for (memory_mb, fd_limit) in [(37.0, 900), (56.0, 900), (66.0, 1500), (104.0, 1500), (188.0, 2900)] {
-        let resources = Resources { cpu: 0.1, memory_mb, fd_limit };
+        let resources = ProcessLimits { cpu: 0.1, memory_mb, fd_limit };
         let held = resources.open_jobs() as f64 * JOB_MB + resources.connections() as f64 * CONNECTION_MB + BASE_MB;
         assert!(held <= memory_mb && resources.open_jobs() > 1000, "{held} of {memory_mb} MB");
     }
@@ -99,7 +99,7 @@
 #[test]
 fn the_operators_ini_is_checked() {
     let tuning = Tuning::parse("[fleet]\nidle_spot_s = 5\n").unwrap();
-    assert_eq!(tuning.idle_spot, Span(5000));
+    assert_eq!(tuning.idle_spot, Duration(5000));
     assert!(Tuning::parse("[fleet]\nidle_spt_s = 5\n").unwrap_err().to_string().contains("fleet.idle_spt_s"));
     assert_eq!(Tuning::parse("[fleet]\nstrict_aim = 0.95\n").unwrap().strict_aim, 0.95);
     assert!(Tuning::parse("[fleet]\nstrict_aim = 95\n").unwrap_err().to_string().contains("fleet.strict_aim"));
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,6 +1,6 @@
 //! Calls to the state service, as the slices ask for them.
 
-use crate::units::{LeaseId, Revision, Span};
+use crate::units::{Duration, LeaseId, Revision};
 use crate::wire::{Condition, Txn};
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
@@ -20,7 +20,7 @@
     /// Change keys if conditions hold.
     Txn(Txn),
     /// Obtain a lease.
-    Grant(Span),
+    Grant(Duration),
     /// Renew a lease.
     Renew(LeaseId),
     /// End a lease at once.
--- a/src/term.rs
+++ b/src/term.rs
@@ -2,17 +2,17 @@
 
 use crate::arrivals::Arrivals;
 use crate::controller::{Effect, Origin, Slot, accepted, unavailable};
-use crate::fleet::{self, Fleet};
-use crate::intake::{self, Applied, Final, JobBook, Refusal};
+use crate::failure_detection::LostZone;
+use crate::intake::{self, Applied, Final, JobStore, Refusal};
+use crate::inventory::{self, Inventory};
 use crate::peers::{Answer, UserCall};
 use crate::plan::{Correction, Plans};
 use crate::records::{self, MachineRecord, Record, Records};
 use crate::scheduling::Names;
 use crate::settings::Settings;
 use crate::store::Reply;
-use crate::units::{Attempt, JobId, MachineId, Room, Span, TaskAttempt, TaskId, Time, Token, Wall};
+use crate::units::{Attempt, Duration, JobId, MachineId, Resources, TaskAttempt, TaskId, Time, Token, Wall};
 use crate::upgrade::Format;
-use crate::watching::LostZone;
 use crate::wire::{Cause, Report, ReportAnswer};
 use crate::workers::{self, Enrolment, Machine};
 use log::{debug, info, warn};
@@ -25,9 +25,9 @@
 mod users;
 
 /// Direct commands are given up after this time; they may still be executed later.
-pub const COMMAND_TIMEOUT: Span = Span(1500);
+pub const COMMAND_TIMEOUT: Duration = Duration(1500);
 /// How long a commit may take before its users are told to come back.
-const COMMIT_PATIENCE: Span = Span(1800);
+const COMMIT_PATIENCE: Duration = Duration(1800);
 
 /// Executions between two records of what CorrecFAST has learnt.
 const LEARNT_EVERY: u64 = 20;
@@ -73,9 +73,9 @@
     format: Format,
     pub(crate) since: Time,
     records: Records,
-    pub(crate) book: JobBook,
+    pub(crate) jobs: JobStore,
     pub(crate) machines: BTreeMap<MachineId, Machine>,
-    pub(crate) fleet: Fleet,
+    pub(crate) inventory: Inventory,
     pub(crate) plans: Plans,
     pub(crate) correction: Correction,
     /// What came lately, by class.
@@ -83,7 +83,7 @@
     /// Classes whose jobs are to start sooner than a machine boots.
     pub(crate) prompt_classes: BTreeSet<String>,
     /// Free room of machines that is kept for jobs that must start at once.
-    pub(crate) headroom: BTreeMap<MachineId, Room>,
+    pub(crate) headroom: BTreeMap<MachineId, Resources>,
     pub(crate) names: Names,
     /// Machines of which the plan must learn something.
     pub(crate) changed: BTreeSet<MachineId>,
@@ -123,11 +123,11 @@
     ticked: Time,
     /// How long nothing of ours has reached any worker, counted in ticks, so that a process that stood still
     /// does not take its own absence for silence.
-    pub(crate) unheard: Span,
+    pub(crate) silent_for: Duration,
     /// Whether anything has reached a worker in this term.
     pub(crate) reaches: bool,
     /// So long inputs wait: planning does less then, so that reports and users come first.
-    pub(crate) behind: Span,
+    pub(crate) behind: Duration,
     pub(crate) over: Option<Over>,
 }
 
@@ -139,9 +139,9 @@
             format,
             since: now,
             records: Records::new(token, format, now, &settings.deployment.state, &settings.tuning),
-            book: JobBook::default(),
+            jobs: JobStore::default(),
             machines: BTreeMap::new(),
-            fleet: Fleet::new(token, now, &settings.deployment.cloud),
+            inventory: Inventory::new(token, now, &settings.deployment.cloud),
             plans: Plans::default(),
             correction: Correction::default(),
             arrivals: Arrivals::default(),
@@ -170,9 +170,9 @@
             demanded: Time(0),
             watched: now,
             ticked: now,
-            unheard: Span(0),
+            silent_for: Duration(0),
             reaches: false,
-            behind: Span(0),
+            behind: Duration(0),
             over: None,
             settings: settings.clone(),
         }
@@ -184,7 +184,7 @@
         self.records.start(now, &mut events);
         self.recorded(now, wall, events, out);
         let mut events = Vec::new();
-        self.fleet.tick(now, &mut events);
+        self.inventory.tick(now, &mut events);
         self.hired(now, wall, events, out);
     }
 
@@ -204,9 +204,9 @@
     pub fn open(&self) -> bool {
         self.unfenced.is_empty()
     }
-    /// The job book.
-    pub fn book(&self) -> &JobBook {
-        &self.book
+    /// The job jobs.
+    pub fn jobs(&self) -> &JobStore {
+        &self.jobs
     }
     /// The machines.
     pub fn machines(&self) -> impl Iterator<Item = &Machine> {
@@ -232,9 +232,9 @@
     pub fn cloud(&mut self, now: Time, wall: Wall, certain: bool, id: u64, reply: &Reply, out: &mut Vec<Effect>) {
         let mut events = Vec::new();
         let machines = &self.machines;
-        let knew = self.fleet.flavors().is_some();
-        self.fleet.reply(now, id, reply, &|id| machines.contains_key(&id), &mut events);
-        if !knew && self.fleet.flavors().is_some() {
+        let knew = self.inventory.flavors().is_some();
+        self.inventory.reply(now, id, reply, &|id| machines.contains_key(&id), &mut events);
+        if !knew && self.inventory.flavors().is_some() {
             self.changed.extend(self.machines.keys());
         }
         self.hired(now, wall, events, out);
@@ -242,25 +242,25 @@
         self.flush(now, out);
     }
 
-    pub(crate) fn hired(&mut self, now: Time, wall: Wall, events: Vec<fleet::Event>, out: &mut Vec<Effect>) {
+    pub(crate) fn hired(&mut self, now: Time, wall: Wall, events: Vec<inventory::Event>, out: &mut Vec<Effect>) {
         for event in events {
             match event {
-                fleet::Event::Call(id, call) => out.push(Effect::Cloud(self.token.0, id, call)),
-                fleet::Event::Failed(id) => {
+                inventory::Event::Call(id, call) => out.push(Effect::Cloud(self.token.0, id, call)),
+                inventory::Event::Failed(id) => {
                     if let Some(machine) = self.machines.get_mut(&id) {
                         machine.draining.get_or_insert("failed");
                         self.changed.insert(id);
                     }
-                    self.fleet.give_back(id, "failed");
+                    self.inventory.give_back(id, "failed");
                 }
-                fleet::Event::Rented(ids) => {
+                inventory::Event::Rented(ids) => {
                     for id in ids {
-                        if let Some(b) = self.fleet.booting_one(id) {
+                        if let Some(b) = self.inventory.booting_one(id) {
                             self.records.push(rented(id, b, wall.of(now, b.since)));
                         }
                     }
                 }
-                fleet::Event::Returned(ids) => {
+                inventory::Event::Returned(ids) => {
                     self.dirty = true;
                     for id in ids {
                         self.records.push(Record::Gone(id));
@@ -285,12 +285,12 @@
         let mut events = Vec::new();
         self.records.tick(now, &mut events);
         self.recorded(now, wall, events, out);
-        let passed = now.since(self.ticked).min(Span(200));
+        let passed = now.since(self.ticked).min(Duration(200));
         self.ticked = now;
         if !self.loaded() {
             return;
         }
-        self.unheard = self.unheard + passed;
+        self.silent_for = self.silent_for + passed;
         if self.records.wants_snapshot() {
             let mut facts: Vec<Record> = self
                 .machines
@@ -301,18 +301,18 @@
             for m in self.machines.values().filter(|m| m.enrolment == Enrolment::Durable) {
                 facts.extend(m.images.iter().map(|image| Record::Image(m.id(), image.clone())));
             }
-            facts.extend(self.fleet.booting().map(|(id, b)| rented(*id, b, wall.of(now, b.since))));
+            facts.extend(self.inventory.booting().map(|(id, b)| rented(*id, b, wall.of(now, b.since))));
             facts.push(Record::Learnt(self.correction.percent, self.correction.executions));
-            facts.extend(self.book.facts());
+            facts.extend(self.jobs.facts());
             debug!("snapshot facts={}", facts.len());
             self.records.begin_snapshot(facts.into_iter());
         }
         if certain {
             let mut events = Vec::new();
-            self.fleet.tick(now, &mut events);
+            self.inventory.tick(now, &mut events);
             self.hired(now, wall, events, out);
         }
-        if now.since(self.watched) >= Span(250) {
+        if now.since(self.watched) >= Duration(250) {
             self.watched = now;
             self.watch(now, certain, out);
         }
@@ -361,7 +361,7 @@
 }
 
 /// The fact that a machine was rented; where its worker is will be told by its first report.
-fn rented(id: MachineId, b: &fleet::Booting, at: Wall) -> Record {
+fn rented(id: MachineId, b: &inventory::Booting, at: Wall) -> Record {
     let (kind, zone, endpoint) = (b.kind.clone(), b.zone.clone(), String::new());
     Record::Rented(MachineRecord { id, endpoint, kind, zone, spot: b.spot, at })
 }
--- a/src/term/facts.rs
+++ b/src/term/facts.rs
@@ -21,11 +21,11 @@
                     info!(
                         "loaded token={} jobs={} over={} machines={}",
                         self.token,
-                        self.book.open(),
-                        self.book.finals(),
+                        self.jobs.open(),
+                        self.jobs.finals(),
                         self.machines.len()
                     );
-                    let mut jobs: Vec<&intake::Job> = self.book.live().collect();
+                    let mut jobs: Vec<&intake::Job> = self.jobs.live().collect();
                     jobs.sort_unstable_by_key(|job| job.submitted);
                     for job in jobs {
                         self.arrivals.note(job.submitted, &job.record);
@@ -47,18 +47,19 @@
     pub(super) fn restore(&mut self, now: Time, wall: Wall, record: &Record) {
         match record {
             Record::Enrolled(machine) => {
-                let mut m = Machine::new(machine.clone(), Room::default(), Enrolment::Durable, now);
+                let mut m = Machine::new(machine.clone(), Resources::default(), Enrolment::Durable, now);
                 m.since = wall.instant(now, machine.at);
-                self.fleet.up(machine.id);
+                self.inventory.up(machine.id);
                 self.unfenced.insert(machine.id);
                 self.machines.insert(machine.id, m);
             }
             // Such facts are written later than others: by now it may be known to be up, or gone.
-            Record::Rented(machine) if self.machines.contains_key(&machine.id) || self.fleet.is_gone(machine.id) => {}
+            Record::Rented(machine)
+                if self.machines.contains_key(&machine.id) || self.inventory.is_gone(machine.id) => {}
             Record::Rented(machine) => {
                 let (kind, zone) = (machine.kind.clone(), machine.zone.clone());
                 let since = wall.instant(now, machine.at);
-                self.fleet.inherit(machine.id, fleet::Booting { kind, zone, spot: machine.spot, since });
+                self.inventory.inherit(machine.id, inventory::Booting { kind, zone, spot: machine.spot, since });
             }
             Record::Image(id, image) => {
                 if let Some(m) = self.machines.get_mut(id) {
@@ -69,12 +70,12 @@
                 self.correction = Correction { percent: *percent, executions: *executions };
             }
             Record::Gone(id) => {
-                self.fleet.lose(*id);
+                self.inventory.lose(*id);
                 self.unfenced.remove(id);
                 self.machines.remove(id);
             }
             other => {
-                self.book.apply(other, now, wall);
+                self.jobs.apply(other, now, wall);
             }
         }
     }
@@ -96,9 +97,9 @@
                         self.may_reap(TaskId { job: *job, index });
                     }
                 }
-                match self.book.apply(other, now, wall) {
+                match self.jobs.apply(other, now, wall) {
                     Applied::Accepted(id) => {
-                        if let Some(job) = self.book.get(id) {
+                        if let Some(job) = self.jobs.get(id) {
                             self.arrivals.note(now, &job.record);
                             debug!("accepted {id} class={} tasks={}", job.record.class, job.record.tasks);
                             for waiter in self.accepting.remove(&id).unwrap_or_default() {
@@ -114,7 +115,7 @@
     }
 
     pub(super) fn job_over(&mut self, now: Time, id: JobId, left: &[intake::Placed], out: &mut Vec<Effect>) {
-        info!("over {id} {}", if matches!(self.book.ended(id), Some(Final::Done(_))) { "done" } else { "cancelled" });
+        info!("over {id} {}", if matches!(self.jobs.ended(id), Some(Final::Done(_))) { "done" } else { "cancelled" });
         self.plans.remove_job(id);
         for placed in left {
             self.abandon(*placed);
--- a/src/term/reports.rs
+++ b/src/term/reports.rs
@@ -23,7 +23,7 @@
             out.push(Effect::Answer(origin, Answer { status: 400, retry_after: 0, body }));
             return;
         };
-        if self.fleet.is_gone(id) {
+        if self.inventory.is_gone(id) {
             // A late message of a machine that is no more.
             out.push(Effect::Answer(origin, unavailable("this machine was returned")));
             return;
@@ -38,9 +38,9 @@
                 at: wall,
             };
             info!("up machine={id} type={} zone={} spot={}", report.kind, report.zone, report.spot);
-            Machine::new(record, Room::default(), Enrolment::None, now)
+            Machine::new(record, Resources::default(), Enrolment::None, now)
         });
-        if let Some(rented) = self.fleet.up(id)
+        if let Some(rented) = self.inventory.up(id)
             && let Some(machine) = self.machines.get_mut(&id)
         {
             machine.since = rented;
@@ -63,7 +63,7 @@
         self.maybe_schedule(now, wall, certain, out);
         if showed {
             // What is planned next here goes with the answer.
-            self.go_on(now, id);
+            self.start_next(now, id);
         }
         if let Some(machine) = self.machines.get_mut(&id) {
             let keep = self.settings.deployment.workers.copies_over();
@@ -71,7 +71,7 @@
                 true => machine.orders(now, keep),
                 // The answer renews the lease, whatever runs there. What is cancelled must not run on by that: each new
                 // leader of a chain renewed it once, and the machine was out of reach before the next report.
-                false => workers::kills(report, &|job| self.book.ended(job).is_some()),
+                false => workers::kills(report, &|job| self.jobs.ended(job).is_some()),
             };
             machine.answered = now;
             machine.told = machine.last_report;
@@ -88,7 +88,7 @@
             && certain
             && machine.fenced
             && machine.enrolment == Enrolment::None
-            && !self.fleet.is_returning(id)
+            && !self.inventory.is_returning(id)
         {
             machine.enrolment = Enrolment::Pending;
             self.records.push(Record::Enrolled(machine.record.clone()));
@@ -167,7 +167,7 @@
                 workers::Event::Lost(task) => {
                     debug!("lost {task} machine={id}");
                     self.unplace(id, task);
-                    if let Some(gang) = self.book.get_mut(task.job).and_then(|job| job.gang.as_mut()) {
+                    if let Some(gang) = self.jobs.get_mut(task.job).and_then(|job| job.gang.as_mut()) {
                         gang.task_lost(now);
                     }
                 }
--- a/src/term/tasks.rs
+++ b/src/term/tasks.rs
@@ -12,7 +12,7 @@
 /// Longest pause between tries of a job that fails wherever it runs, in seconds.
 const LONGEST_PAUSE_S: u64 = 60;
 /// Pause after a worker refused a task.
-const REFUSED_PAUSE: Span = Span(500);
+const REFUSED_PAUSE: Duration = Duration(500);
 
 impl Term {
     /// A task that an earlier leader started: taken over if its job is not over.
@@ -20,7 +20,7 @@
         let task = key.task;
         let Some(machine) = self.machines.get_mut(&id) else { return };
         let Some(hold) = machine.holds.get_mut(&key) else { return };
-        let Some(job) = self.book.get_mut(task.job) else { return };
+        let Some(job) = self.jobs.get_mut(task.job) else { return };
         hold.need = job.record.need;
         hold.rank = job.record.rank;
         hold.image.clone_from(&job.record.image);
@@ -72,7 +72,7 @@
 
     /// A claimed attempt began to run.
     pub(super) fn task_runs(&mut self, now: Time, key: TaskAttempt) {
-        let Some(job) = self.book.get_mut(key.task.job) else { return };
+        let Some(job) = self.jobs.get_mut(key.task.job) else { return };
         if let Some(placed) = job.placed.get_mut(&key.task.index).filter(|p| p.key == key) {
             placed.running = true;
         }
@@ -86,11 +86,11 @@
 
     /// The task is on no machine any more.
     pub(super) fn unplace(&mut self, id: MachineId, task: TaskId) {
-        if let Some(job) = self.book.get_mut(task.job)
+        if let Some(job) = self.jobs.get_mut(task.job)
             && job.placed.get(&task.index).is_some_and(|p| p.machine == id)
         {
             job.placed.remove(&task.index);
-            self.book.waits_again(task);
+            self.jobs.waits_again(task);
         }
     }
 
@@ -101,7 +101,7 @@
         let Some(hold) = machine.holds.get_mut(&exit.key) else { return };
         hold.reapable = true;
         let ours = std::mem::replace(&mut hold.claimed, false);
-        let Some(job) = self.book.get_mut(task.job) else { return };
+        let Some(job) = self.jobs.get_mut(task.job) else { return };
         if exit.cause == Cause::Done && !job.record.service {
             return self.task_done(now, id, exit, ours);
         }
@@ -129,7 +129,7 @@
         let task = exit.key.task;
         let inherited = exit.key.attempt.0 >> 24 != self.token.0;
         let Some(machine) = self.machines.get_mut(&id) else { return };
-        let Some(job) = self.book.get_mut(task.job) else { return };
+        let Some(job) = self.jobs.get_mut(task.job) else { return };
         machine.failed_jobs.clear();
         job.failures = 0;
         job.placed.remove(&task.index);
@@ -165,7 +165,7 @@
     fn task_failed(&mut self, now: Time, id: MachineId, exit: Exit) {
         let task = exit.key.task;
         let Some(machine) = self.machines.get_mut(&id) else { return };
-        let Some(job) = self.book.get_mut(task.job) else { return };
+        let Some(job) = self.jobs.get_mut(task.job) else { return };
         info!("failed {task} machine={id} ran={:?}", exit.running_since.map(|r| now.since(r).as_secs()));
         job.failures += 1;
         if !job.failed_on.contains(&id) {
@@ -173,11 +173,11 @@
         }
         if job.failed_on.len() >= FAILED_ON_LIMIT {
             let pause = 2u64.saturating_pow(job.failures.min(8)).min(LONGEST_PAUSE_S);
-            job.not_before = now + Span(pause * 1000);
+            job.not_before = now + Duration(pause * 1000);
             job.failed_on.clear();
             self.plans.remove_job(task.job);
         }
-        let job = self.book.get(task.job);
+        let job = self.jobs.get(task.job);
         let faulty = job.is_some_and(|j| j.done.is_empty() && j.failures >= 3);
         if !faulty {
             machine.failed_jobs.insert(task.job);
--- a/src/term/tests.rs
+++ b/src/term/tests.rs
@@ -26,7 +26,7 @@
     for fact in &facts {
         term.restore(Time::START, Wall(0), fact);
     }
-    let booting: Vec<MachineId> = term.fleet.booting().map(|(id, _)| *id).collect();
+    let booting: Vec<MachineId> = term.inventory.booting().map(|(id, _)| *id).collect();
     assert_eq!(booting, [MachineId(3)]);
     assert_eq!(term.machines.keys().collect::<Vec<_>>(), [&MachineId(1)]);
 }
--- a/src/term/users.rs
+++ b/src/term/users.rs
@@ -41,7 +41,7 @@
                 .and_then(|v| v.get("Ref").and_then(|r| r.as_str()).and_then(|r| r.parse().ok())),
         };
         if let Some(id) = id {
-            let accepted = self.book.ended(id).is_some() || self.book.get(id).is_some_and(|j| j.durable);
+            let accepted = self.jobs.ended(id).is_some() || self.jobs.get(id).is_some_and(|j| j.durable);
             if accepted {
                 return Some(self.get(certain, &id.to_string()));
             }
@@ -55,32 +55,32 @@
             return Some(unavailable("leadership is in doubt"));
         }
         let waiter = Waiter { origin, until: now + COMMIT_PATIENCE };
-        if self.book.get(record.id).is_some() {
+        if self.jobs.get(record.id).is_some() {
             self.accepting.entry(record.id).or_default().push(waiter);
             return None;
         }
         let teams = &self.settings.deployment.teams;
-        if let Err(refusal) = intake::can_ever_run(&record, teams, self.fleet.flavors(), self.format.has_gangs()) {
+        if let Err(refusal) = intake::can_ever_run(&record, teams, self.inventory.flavors(), self.format.has_gangs()) {
             return Some(refused(&refusal));
         }
         // Types that the cloud does not have cannot matter, and need no room in the log.
-        let fleet = &self.fleet;
+        let inventory = &self.inventory;
         if let Some(types) = &mut record.types {
             types.sort_unstable();
             types.dedup();
-            types.retain(|t| fleet.flavor(t).is_some());
+            types.retain(|t| inventory.flavor(t).is_some());
         }
         if !self.records.fits(&Record::Job(record.clone())) {
             return Some(refused(&Refusal::Malformed("Reel", "the job's names are too long to be kept")));
         }
         let limit = self.settings.deployment.resources.open_jobs();
-        if self.book.open() >= limit || self.records.backlog() >= BACKLOG_LIMIT {
+        if self.jobs.open() >= limit || self.records.backlog() >= BACKLOG_LIMIT {
             // Answered at once: the user is told when to come back.
             return Some(Answer { retry_after: 10, ..unavailable("too many jobs are open") });
         }
         self.accepting.entry(record.id).or_default().push(waiter);
         self.records.push(Record::Job(record.clone()));
-        self.book.enter(record, now, true);
+        self.jobs.enter(record, now, true);
         None
     }
 
@@ -88,13 +88,13 @@
         let not_found = || Answer { status: 404, retry_after: 0, body: json!({"error": "no such job"}).to_string() };
         let Ok(id) = id.parse::<JobId>() else { return not_found() };
         // A durable final state never changes; all else may be outdated if another node leads.
-        if self.book.ended(id).is_none() && !certain {
+        if self.jobs.ended(id).is_none() && !certain {
             return unavailable("leadership is in doubt");
         }
-        if self.book.get(id).is_some_and(|j| !j.durable) {
+        if self.jobs.get(id).is_some_and(|j| !j.durable) {
             return unavailable("not accepted yet");
         }
-        match self.book.state(id) {
+        match self.jobs.state(id) {
             Some(state) => Answer { status: 200, retry_after: 0, body: state.to_string() },
             None => not_found(),
         }
@@ -108,7 +108,7 @@
                 body: json!({"error": "the id has the wrong form", "field": "Ref"}).to_string(),
             });
         };
-        if self.book.ended(job_id).is_some() {
+        if self.jobs.ended(job_id).is_some() {
             return Some(self.get(certain, id));
         }
         if !certain {
@@ -116,7 +116,7 @@
         }
         let open = self.open();
         let mut stops = Vec::new();
-        let Some(job) = self.book.get_mut(job_id) else { return Some(self.get(certain, id)) };
+        let Some(job) = self.jobs.get_mut(job_id) else { return Some(self.get(certain, id)) };
         if !job.durable {
             return Some(unavailable("not accepted yet"));
         }
--- a/src/units.rs
+++ b/src/units.rs
@@ -139,27 +139,27 @@
 /// A span of time in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct Span(pub u64);
+pub struct Duration(pub u64);
 
-impl Span {
+impl Duration {
     /// A span of this many seconds; what is negative or not a number counts as none.
-    pub fn secs(seconds: f64) -> Span {
-        Span((seconds.max(0.0) * 1000.0).min(9e15) as u64)
+    pub fn secs(seconds: f64) -> Duration {
+        Duration((seconds.max(0.0) * 1000.0).min(9e15) as u64)
     }
     /// The span in seconds.
     pub fn as_secs(self) -> f64 {
         self.0 as f64 / 1000.0
     }
     /// The span scaled by a factor.
-    pub fn times(self, factor: f64) -> Span {
-        Span((self.0 as f64 * factor).max(0.0) as u64)
+    pub fn times(self, factor: f64) -> Duration {
+        Duration((self.0 as f64 * factor).max(0.0) as u64)
     }
 }
 
-impl std::ops::Div<u64> for Span {
-    type Output = Span;
-    fn div(self, by: u64) -> Span {
-        Span(self.0 / by)
+impl std::ops::Div<u64> for Duration {
+    type Output = Duration;
+    fn div(self, by: u64) -> Duration {
+        Duration(self.0 / by)
     }
 }
 
@@ -175,14 +175,14 @@
     /// instant too, and "long ago" can be told from "never".
     pub const START: Time = Time(1 << 40);
     /// The time that has passed since `earlier`, none if it lies ahead.
-    pub fn since(self, earlier: Time) -> Span {
-        Span(self.0.saturating_sub(earlier.0))
+    pub fn since(self, earlier: Time) -> Duration {
+        Duration(self.0.saturating_sub(earlier.0))
     }
 }
 
-impl std::ops::Add<Span> for Time {
+impl std::ops::Add<Duration> for Time {
     type Output = Time;
-    fn add(self, span: Span) -> Time {
+    fn add(self, span: Duration) -> Time {
         Time(self.0.saturating_add(span.0))
     }
 }
@@ -205,7 +205,7 @@
 
 /// What a task takes of a machine, in thousandths.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct Room {
+pub struct Resources {
     /// Thousandths of a CPU.
     pub cpus: u64,
     /// Thousandths of a GPU.
@@ -214,25 +214,25 @@
     pub memory: u64,
 }
 
-impl Room {
+impl Resources {
     /// Whether this much fits into `other`.
-    pub fn fits(&self, other: &Room) -> bool {
+    pub fn fits(&self, other: &Resources) -> bool {
         self.cpus <= other.cpus && self.gpus <= other.gpus && self.memory <= other.memory
     }
     /// This much more.
-    pub fn add(&mut self, other: &Room) {
+    pub fn add(&mut self, other: &Resources) {
         self.cpus += other.cpus;
         self.gpus += other.gpus;
         self.memory += other.memory;
     }
     /// This much less, none at the least.
-    pub fn sub(&mut self, other: &Room) {
+    pub fn sub(&mut self, other: &Resources) {
         self.cpus = self.cpus.saturating_sub(other.cpus);
         self.gpus = self.gpus.saturating_sub(other.gpus);
         self.memory = self.memory.saturating_sub(other.memory);
     }
     /// How many times `self` fits into `other`.
-    pub fn times_in(&self, other: &Room) -> u64 {
+    pub fn times_in(&self, other: &Resources) -> u64 {
         let part = |need: u64, have: u64| have.checked_div(need).unwrap_or(u64::MAX);
         part(self.cpus, other.cpus).min(part(self.gpus, other.gpus)).min(part(self.memory, other.memory))
     }
--- a/src/upgrade.rs
+++ b/src/upgrade.rs
@@ -6,7 +6,7 @@
 //! transaction (`Leadership::move_key`); what it leaves under the old name keeps old processes from ever leading again.
 
 use crate::store::{Reply, StateCall, condition};
-use crate::units::{Revision, Span, Time};
+use crate::units::{Duration, Revision, Time};
 use crate::wire::{Change, KeyPage, Txn};
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -40,11 +40,11 @@
 /// The newest format that this version reads, as its key says it.
 const READS_FORMAT: u64 = 2;
 /// Without an answer for so long a request is repeated.
-const CALL_TIMEOUT: Span = Span(1500);
+const CALL_TIMEOUT: Duration = Duration(1500);
 /// Pause after a request that failed.
-const RETRY_AFTER: Span = Span(500);
+const RETRY_AFTER: Duration = Duration(500);
 /// How often a leader looks for the keys of the other controllers.
-const LOOK_EVERY: Span = Span(2000);
+const LOOK_EVERY: Duration = Duration(2000);
 
 /// What the slice wants done or made known.
 #[derive(Debug, PartialEq)]
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -4,7 +4,7 @@
 //! then on nothing that an earlier leader sent can start or stop a task there.
 
 use crate::records::MachineRecord;
-use crate::units::{Attempt, JobId, MachineId, Room, Seq, Session, Span, TaskAttempt, TaskId, Time, Token};
+use crate::units::{Attempt, Duration, JobId, MachineId, Resources, Seq, Session, TaskAttempt, TaskId, Time, Token};
 use crate::wire::{Cause, Order, Report, TaskState};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -78,7 +78,7 @@
     /// The task counts as on this machine for its job.
     pub claimed: bool,
     /// What it takes.
-    pub need: Room,
+    pub need: Resources,
     /// Importance of its job, 0 first.
     pub rank: u8,
     /// Its image.
@@ -88,7 +88,7 @@
     /// When it was first seen running.
     pub running_since: Option<Time>,
     /// Predicted time from order to end; `None` for services.
-    pub predicted: Option<Span>,
+    pub predicted: Option<Duration>,
     /// Whether it is a task of a gang.
     pub gang: bool,
 }
@@ -123,8 +123,8 @@
 pub struct Machine {
     /// What is remembered of it.
     pub record: MachineRecord,
-    /// Room in all.
-    pub capacity: Room,
+    /// Resources in all.
+    pub capacity: Resources,
     /// Whether its enrolment is durable.
     pub enrolment: Enrolment,
     /// Session of its last message.
@@ -181,7 +181,7 @@
     /// When it was first seen running.
     pub running_since: Option<Time>,
     /// Predicted time from order to end.
-    pub predicted: Option<Span>,
+    pub predicted: Option<Duration>,
 }
 
 /// What a message of a worker showed.
@@ -208,7 +208,7 @@
 
 impl Machine {
     /// A machine that came into view.
-    pub fn new(record: MachineRecord, capacity: Room, enrolment: Enrolment, now: Time) -> Machine {
+    pub fn new(record: MachineRecord, capacity: Resources, enrolment: Enrolment, now: Time) -> Machine {
         Machine {
             record,
             capacity,
@@ -246,12 +246,12 @@
     }
 
     /// Whether something of ours reached it within this time.
-    pub fn in_reach(&self, now: Time, within: Span) -> bool {
+    pub fn in_reach(&self, now: Time, within: Duration) -> bool {
         now.since(self.reached) <= within
     }
 
-    /// Room that is not taken.
-    pub fn free(&self) -> Room {
+    /// Resources that is not taken.
+    pub fn free(&self) -> Resources {
         let mut free = self.capacity;
         for hold in self.holds.values().filter(|h| h.occupies()) {
             free.sub(&hold.need);
@@ -317,7 +317,7 @@
         self.seq = seq;
         self.heard = now;
         self.record.endpoint.clone_from(&report.endpoint);
-        self.notice = report.notice_s.map(|s| now + Span::secs(s));
+        self.notice = report.notice_s.map(|s| now + Duration::secs(s));
         if report.token == token.0 && !self.fenced {
             self.fenced = true;
             // An earlier leader may have renewed the lease up to now, but no longer.
@@ -370,7 +370,7 @@
                 ended: now,
                 reapable: true,
                 claimed: false,
-                need: Room::default(),
+                need: Resources::default(),
                 rank: 3,
                 image: String::new(),
                 since: now,
@@ -433,7 +433,7 @@
     /// knows it, and a late copy of the direct `run` finds it exited. For the same reason the worker is
     /// left with an ended attempt that was started directly for `keep`: once it has forgotten it, a copy
     /// of the command, carried out late although the command was answered, would start it anew.
-    pub fn orders(&mut self, now: Time, keep: Span) -> Vec<Order> {
+    pub fn orders(&mut self, now: Time, keep: Duration) -> Vec<Order> {
         let mut orders = Vec::new();
         let mut too_many = self.holds.values().filter(|h| !h.occupies()).count().saturating_sub(ENDED_LIMIT);
         for (key, hold) in &mut self.holds {
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -16,7 +16,7 @@
         spot: false,
         at: crate::units::Wall(0),
     };
-    Machine::new(record, Room { cpus: 4000, gpus: 0, memory: 16_000 }, Enrolment::Durable, Time(0))
+    Machine::new(record, Resources { cpus: 4000, gpus: 0, memory: 16_000 }, Enrolment::Durable, Time(0))
 }
 
 fn first_attempt() -> TaskAttempt {
@@ -36,7 +36,7 @@
         ended: Time(0),
         reapable: true,
         claimed: true,
-        need: Room { cpus: 1000, gpus: 0, memory: 1000 },
+        need: Resources { cpus: 1000, gpus: 0, memory: 1000 },
         rank: 0,
         image: "img".into(),
         since: Time(0),
@@ -118,12 +118,12 @@
     m.stop(first_attempt(), 0.0);
     let (task, attempt) = ("job-000001/0".to_string(), 1);
     let kill = Order::Kill { task: task.clone(), attempt, grace_s: 0.0 };
-    assert_eq!(m.orders(Time(1), Span(0)), [Order::Run { task, attempt }, kill]);
+    assert_eq!(m.orders(Time(1), Duration(0)), [Order::Run { task, attempt }, kill]);
     assert!(m.direct_orders(9).is_empty(), "only answers to reports are never executed late");
     m.fenced = true;
     let exited = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "exited", "Cause": "halted"}]);
     m.message(Time(1), &report(1, 1, 7, exited), Token(7), &mut Vec::new());
-    assert!(m.orders(Time(1), Span(0)).is_empty(), "a late copy would start it anew");
+    assert!(m.orders(Time(1), Duration(0)).is_empty(), "a late copy would start it anew");
 }
 
 /// A task that was saving when its job was cancelled got no second order, and went on for as long as it saved.
@@ -135,10 +135,10 @@
     m.stop(first_attempt(), 10.0);
     let saving = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "flushing"}]);
     m.message(Time(1), &report(1, 1, 7, saving), Token(7), &mut Vec::new());
-    assert!(m.orders(Time(1), Span(0)).is_empty(), "it may save");
+    assert!(m.orders(Time(1), Duration(0)).is_empty(), "it may save");
     m.stop(first_attempt(), 0.0);
     let kill = Order::Kill { task: "job-000001/0".into(), attempt: 1, grace_s: 0.0 };
-    assert_eq!(m.orders(Time(2), Span(0)), [kill]);
+    assert_eq!(m.orders(Time(2), Duration(0)), [kill]);
 }
 
 /// A copy of an answered command, carried out late, started a task anew that had been reaped.
@@ -150,9 +150,9 @@
     m.fenced = true;
     let exited = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "exited", "Cause": "done"}]);
     m.message(Time(1000), &report(1, 1, 7, exited), Token(7), &mut Vec::new());
-    assert!(m.orders(Time(30_999), Span(30_000)).is_empty());
+    assert!(m.orders(Time(30_999), Duration(30_000)).is_empty());
     let reap = Order::Reap { task: "job-000001/0".into(), attempt: 1 };
-    assert_eq!(m.orders(Time(31_000), Span(30_000)), [reap]);
+    assert_eq!(m.orders(Time(31_000), Duration(30_000)), [reap]);
 }
 
 #[test]
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -1,6 +1,6 @@
 //! Final states are kept for ever: what they cost in memory is measured on the process itself.
 
-use caperstile::intake::JobBook;
+use caperstile::intake::JobStore;
 use caperstile::records::Record;
 use caperstile::units::{JobId, Time, Wall};
 
@@ -14,7 +14,7 @@
 #[test]
 fn a_finished_job_costs_few_bytes() {
     const JOBS: usize = 400_000;
-    let mut book = JobBook::default();
+    let mut book = JobStore::default();
     let before = resident();
     for _ in 0..JOBS / 200 {
         let start = book.finals() as u64 + 1;
--- a/tests/support/leading.rs
+++ b/tests/support/leading.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code)]
 
 use caperstile::controller::{Controller, Effect, Input};
-use caperstile::fleet::CloudCall;
 use caperstile::intake::parse_job;
+use caperstile::inventory::CloudCall;
 use caperstile::records::{MachineRecord, Record};
 use caperstile::settings::Settings;
 use caperstile::store::{Reply, StateCall};
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -19,10 +19,10 @@
 pub use state::{State, state_call};
 
 use caperstile::controller::{Controller, Effect, Input, Origin, Slot};
-use caperstile::fleet::CloudCall;
+use caperstile::inventory::CloudCall;
 use caperstile::peers::{Answer, UserCall};
 use caperstile::store::{Reply, StateCall};
-use caperstile::units::{MachineId, Span, Time, Wall};
+use caperstile::units::{Duration, MachineId, Time, Wall};
 use caperstile::wire::{Change, Commands, Order, Report, ReportAnswer, ReportedTask, TaskState};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/tests/support/nodes.rs
+++ b/tests/support/nodes.rs
@@ -174,7 +174,7 @@
 
     /// What a node's own clock says: it starts with the process.
     pub fn clock(&self, node: usize) -> Time {
-        Time::START + Span(self.now - self.born[node])
+        Time::START + Duration(self.now - self.born[node])
     }
 
     pub(super) fn feed(&mut self, node: usize, input: Input) {
--- a/tests/support/state.rs
+++ b/tests/support/state.rs
@@ -1,7 +1,7 @@
 //! The state service's stand-in: keys with revisions, leases, transactions and limits.
 
 use caperstile::store::StateCall;
-use caperstile::units::{LeaseId, Span};
+use caperstile::units::{Duration, LeaseId};
 use caperstile::wire::{Change, LeaseRequest, Txn};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -44,7 +44,7 @@
     if path == "/txn" {
         StateCall::Txn(serde_json::from_slice(body).expect("a transaction"))
     } else if path == "/leases" {
-        StateCall::Grant(Span(serde_json::from_slice::<LeaseRequest>(body).expect("a lease request").ttl_ms))
+        StateCall::Grant(Duration(serde_json::from_slice::<LeaseRequest>(body).expect("a lease request").ttl_ms))
     } else if let Some(rest) = path.strip_prefix("/leases/") {
         StateCall::Renew(LeaseId(rest.strip_suffix("/extend").and_then(|id| id.parse().ok()).expect("a lease")))
     } else if let Some(key) = path.strip_prefix("/keys/") {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -307,7 +307,7 @@
     (0..3).for_each(|n| sim.bounce(n, 500));
     sim.run_until(66_000);
     let leader = sim.leader().expect("somebody leads");
-    let book = sim.nodes[leader].as_ref().and_then(|c| c.term()).expect("a term").book();
+    let book = sim.nodes[leader].as_ref().and_then(|c| c.term()).expect("a term").jobs();
     let age = sim.clock(leader).since(book.get("job-000001".parse().unwrap()).expect("known").submitted);
     assert!((63.0..66.0).contains(&age.as_secs()), "{} s", age.as_secs());
 }
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -38,13 +38,13 @@
     for told in fixture["told"].as_array().expect("pairs") {
         let (id, status) = (told[0].as_str().expect("an id"), told[1].as_str().expect("a status"));
         let id = id.parse().expect("an id");
-        let state = term.book().state(id).unwrap_or_else(|| panic!("{id} is forgotten"));
+        let state = term.jobs().state(id).unwrap_or_else(|| panic!("{id} is forgotten"));
         match status {
             "done" | "aborted" => assert_eq!(state["Status"], status, "{id}"),
-            _ => assert!(term.book().ended(id).is_none(), "{id} is {state}"),
+            _ => assert!(term.jobs().ended(id).is_none(), "{id} is {state}"),
         }
     }
-    let job = |id: &str| term.book().get(id.parse().expect("an id")).expect("it is open").record.clone();
+    let job = |id: &str| term.jobs().get(id.parse().expect("an id")).expect("it is open").record.clone();
     assert!(job("job-000001").service && !job("job-000001").gang);
     assert!(job("job-000030").together && job("job-000030").team == "small" && job("job-000030").tasks == 9);
 }
