Gangs: two tests for guards that turned nothing red when they were taken out

A machine that hangs while the cloud is out, and a stop that the next leader completes. Without the wait for the last task the first one fails, without the time for saving the second.

--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -19,10 +19,22 @@
         ("StashS", json!(1.0)),
     ];
     for (name, value) in change {
-        let name = ["Pieces", "RuntimeS", "Crew", "Cores", "Together", "Spread", "Loaners", "Yard", "Rank"]
-            .into_iter()
-            .find(|n| n == name)
-            .expect("a field");
+        let name = [
+            "Pieces",
+            "RuntimeS",
+            "Crew",
+            "Cores",
+            "Together",
+            "Spread",
+            "Loaners",
+            "Yard",
+            "Rank",
+            "BookmarkS",
+            "StashS",
+        ]
+        .into_iter()
+        .find(|n| n == name)
+        .expect("a field");
         fields.retain(|(n, _)| *n != name);
         fields.push((name, value.clone()));
     }
@@ -256,6 +268,61 @@
     }
 }
 
+/// The leader ends when it has told two machines of a gang to stop and the third has not heard it. The next one finds two tasks that save, and
+/// gives the third one the time to save as well, within `gang_peer_s`.
+#[test]
+fn a_stop_that_was_begun_by_an_earlier_leader_is_completed_in_time() {
+    for seed in 0..4 {
+        let mut sim = ready(seed);
+        let slow_to_save = [("Cores", json!(4.0)), ("RuntimeS", json!(60.0)), ("Loaners", json!(true))];
+        let never_by_itself = [("BookmarkS", json!(90.0)), ("StashS", json!(6.0))];
+        sim.submit(GANG, &gang(&[&slow_to_save[..], &never_by_itself[..]].concat()));
+        assert!(until(&mut sim, 60_000, runs), "seed {seed}");
+        sim.run_until(sim.now + 8000);
+        let noticed = sim.machine_of("job-000001/0").expect("it runs");
+        let deaf = sim.machine_of("job-000001/2").expect("it runs");
+        sim.deaf.insert(deaf);
+        sim.notice(noticed, 14);
+        assert!(until(&mut sim, 14_000, |s| s.saving(GANG) == 2), "seed {seed}");
+        let leader = sim.leader().expect("somebody leads");
+        sim.bounce(leader, 6000);
+        sim.deaf.remove(&deaf);
+        sim.run_until(sim.now + 9000);
+        let saved = sim.progress.get(GANG).copied().unwrap_or(0);
+        assert!(saved > 8000, "seed {seed}: {saved} ms of more than 8,000 were saved");
+        sim.die(noticed);
+        sim.run_until(sim.now + 150_000);
+        kept(&sim, &format!("seed {seed}"));
+        assert_eq!((sim.jobs[GANG].told.as_str(), sim.cut_saves), ("done", 0), "seed {seed}");
+    }
+}
+
+/// A machine hangs within its lease and cannot be given back: the gang's other tasks notice and are over, and nothing of the next attempt
+/// starts, although there are idle machines, until the one that hangs is surely over as well.
+#[test]
+fn nothing_starts_again_while_a_task_hangs() {
+    for seed in 0..4 {
+        let mut sim = ready(seed);
+        // Idle machines with the image.
+        sim.submit("job-000009", &[("Pieces", json!(7)), ("RuntimeS", json!(1.0)), ("Cores", json!(4.0))]);
+        sim.run_until(20_000);
+        sim.submit(GANG, &gang(&[("Cores", json!(4.0)), ("RuntimeS", json!(30.0)), ("Together", json!(false))]));
+        assert!(until(&mut sim, 30_000, runs), "seed {seed}");
+        sim.run_until(sim.now + 1000);
+        let machine = sim.holder(GANG).expect("it runs");
+        sim.cloud_down = true;
+        sim.hang(machine, 14_500);
+        sim.run_until(sim.now + 14_400);
+        kept(&sim, &format!("seed {seed}"));
+        assert_eq!(sim.attempts(GANG), 1, "seed {seed}");
+        sim.run_until(sim.now + 20_000);
+        sim.mend();
+        sim.run_until(sim.now + 120_000);
+        kept(&sim, &format!("seed {seed}"));
+        assert_eq!(sim.jobs[GANG].told, "done", "seed {seed}");
+    }
+}
+
 /// Late copies of reports, delayed and repeated commands: no attempt is taken for another one.
 #[test]
 fn copies_and_repeats_of_an_earlier_attempt() {
