--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -297,6 +297,24 @@
     }
 }
 
+/// The leader ends while a machine of the gang is out of reach for some seconds: until that machine has answered, the next leader does not
+/// take the gang for incomplete, and it runs on.
+#[test]
+fn a_new_leader_waits_for_all_machines_before_it_judges_a_gang() {
+    for seed in 0..5 {
+        let mut sim = ready(seed);
+        sim.submit(GANG, &gang(&[("Cores", json!(4.0)), ("RuntimeS", json!(30.0))]));
+        assert!(until(&mut sim, 60_000, runs), "seed {seed}");
+        let leader = sim.leader().expect("somebody leads");
+        sim.bounce(leader, 8000);
+        let machine = sim.machine_of("job-000001/1").expect("it runs");
+        sim.blink(machine, 4200);
+        sim.run_until(sim.now + 60_000);
+        kept(&sim, &format!("seed {seed}"));
+        assert_eq!((sim.jobs[GANG].told.as_str(), sim.attempts(GANG)), ("done", 1), "seed {seed}");
+    }
+}
+
 /// A machine hangs within its lease and cannot be given back: the gang's other tasks notice and are over, and nothing of the next attempt
 /// starts, although there are idle machines, until the one that hangs is surely over as well.
 #[test]
@@ -396,6 +414,7 @@
     for id in [GANG, "job-000002"] {
         let waited = sim.jobs[id].begun.expect("it began") - sim.jobs[id].accepted_at;
         assert!(waited < 150_000, "{id} waited {waited} ms");
+        assert_eq!(sim.attempts(id), 1, "{id} began before all of it had room");
     }
 }
 
