--- a/tests/gangs.rs
+++ b/tests/gangs.rs
@@ -183,8 +183,8 @@
             match trouble {
                 Lost => sim.die(machine),
                 Hangs => sim.hang(machine, 11_000),
-                HearsNothing => drop(sim.deaf.insert(machine)),
-                Unheard => drop(sim.mute.insert(machine)),
+                HearsNothing => drop(sim.inbound_lost.insert(machine)),
+                Unheard => drop(sim.outbound_lost.insert(machine)),
                 CutOff => sim.cut(machine),
                 ForgetsForAMoment => sim.blink(machine, 400),
                 LeaderEnds => {
@@ -280,13 +280,13 @@
         assert!(until(&mut sim, 60_000, runs), "seed {seed}");
         sim.run_until(sim.now + 8000);
         let noticed = sim.machine_of("job-000001/0").expect("it runs");
-        let deaf = sim.machine_of("job-000001/2").expect("it runs");
-        sim.deaf.insert(deaf);
+        let inbound_lost = sim.machine_of("job-000001/2").expect("it runs");
+        sim.inbound_lost.insert(inbound_lost);
         sim.notice(noticed, 14);
         assert!(until(&mut sim, 14_000, |s| s.saving(GANG) == 2), "seed {seed}");
         let leader = sim.leader().expect("somebody leads");
         sim.bounce(leader, 6000);
-        sim.deaf.remove(&deaf);
+        sim.inbound_lost.remove(&inbound_lost);
         sim.run_until(sim.now + 9000);
         let saved = sim.progress.get(GANG).copied().unwrap_or(0);
         assert!(saved > 8000, "seed {seed}: {saved} ms of more than 8,000 were saved");
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -64,7 +64,7 @@
             sim.cancel(job);
             sim.run_until(sim.now + 300);
             sim.late_writes = (0, false);
-            sim.corner(old);
+            sim.isolate(old);
             // Direct commands of the next leader wait on their way, so that it fences nobody.
             let machines: Vec<u64> = sim.workers.keys().copied().collect();
             sim.hold_commands.extend(machines);
@@ -74,7 +74,7 @@
             match fate {
                 Fate::GoesOn => {}
                 Fate::Ends => sim.crash(next),
-                Fate::CutOff => sim.corner(next),
+                Fate::CutOff => sim.isolate(next),
                 Fate::Followed => {
                     sim.crash(next);
                     sim.run_until(sim.now + 4000);
@@ -98,7 +98,7 @@
     let mut sim = running(11);
     let machine = sim.machine_of("job-000001/0").expect("it runs");
     sim.hold_commands.insert(machine);
-    sim.mute.insert(machine);
+    sim.outbound_lost.insert(machine);
     sim.cloud_down = true;
     sim.cancel(SERVICE);
     assert!(until_cancelled(&mut sim, SERVICE, 3000), "all machines are fenced");
@@ -107,13 +107,13 @@
         sim.bounce(leader, 3000);
         sim.run_until(sim.now + 9000);
         // One report gets through, and its answer.
-        sim.mute.remove(&machine);
+        sim.outbound_lost.remove(&machine);
         let before = sim.renewed(machine);
         let end = sim.now + 5500;
         while sim.renewed(machine) == before && sim.now < end {
             sim.run_until(sim.now + 1);
         }
-        sim.mute.insert(machine);
+        sim.outbound_lost.insert(machine);
     }
     sim.run_until(sim.now + 5000);
     kept(&sim, "a chain of leaders");
@@ -127,7 +127,7 @@
     /// The state service refuses the leader alone.
     Refused,
     /// The leader is cut from the state service and the other controllers, not from its workers and users.
-    Cornered,
+    Isolated,
     /// The leader is cut from all workers.
     Apart,
     /// The leader is cut off together with its zone, in which workers go on reporting to it.
@@ -151,9 +151,9 @@
     /// A job's machines are cut off.
     Cut,
     /// Its machines report, but hear nothing.
-    Deaf,
+    InboundLost,
     /// Its machines reach no controller, but direct commands reach them.
-    Mute,
+    OutboundLost,
     /// Its machines hang, and go on within their lease.
     Hang,
     /// Its machines hang for longer than their lease.
@@ -170,7 +170,7 @@
 
 const TROUBLES: [Trouble; 21] = [
     Trouble::Refused,
-    Trouble::Cornered,
+    Trouble::Isolated,
     Trouble::Apart,
     Trouble::Island,
     Trouble::Back,
@@ -182,8 +182,8 @@
     Trouble::AnswersLost,
     Trouble::LateWrites,
     Trouble::Cut,
-    Trouble::Deaf,
-    Trouble::Mute,
+    Trouble::InboundLost,
+    Trouble::OutboundLost,
     Trouble::Hang,
     Trouble::LongHang,
     Trouble::CommandsHeld,
@@ -202,8 +202,8 @@
         let leader = sim.leader().unwrap_or(0);
         let its: Vec<u64> = (0..2).filter_map(|i| sim.machine_of(&format!("{job}/{i}"))).collect();
         match self {
-            Trouble::Refused => drop(sim.state.deaf.insert(leader)),
-            Trouble::Cornered => sim.corner(leader),
+            Trouble::Refused => drop(sim.state.refused_nodes.insert(leader)),
+            Trouble::Isolated => sim.isolate(leader),
             Trouble::Apart => drop(sim.apart.insert(leader)),
             Trouble::Island => sim.cut_off(support::zone_of(&sim.site.clone(), leader), leader),
             Trouble::Back => sim.bounce(leader, 300),
@@ -218,8 +218,8 @@
             Trouble::AnswersLost => sim.late_writes = (100, true),
             Trouble::LateWrites => sim.late_writes = (50, false),
             Trouble::Cut => its.into_iter().for_each(|m| sim.cut(m)),
-            Trouble::Deaf => sim.deaf.extend(its),
-            Trouble::Mute => sim.mute.extend(its),
+            Trouble::InboundLost => sim.inbound_lost.extend(its),
+            Trouble::OutboundLost => sim.outbound_lost.extend(its),
             Trouble::Hang => its.into_iter().for_each(|m| sim.hang(m, 9000)),
             Trouble::LongHang => its.into_iter().for_each(|m| sim.hang(m, 25_000)),
             Trouble::CommandsHeld => sim.hold_commands.extend(sim.workers.keys().copied().collect::<Vec<u64>>()),
@@ -312,7 +312,7 @@
 /// node, and gone within `cancel_s`.
 #[test]
 fn jobs_are_cancelled_while_the_work_of_one_controller_changes_hands() {
-    for how in [Trouble::Back, Trouble::Ended, Trouble::Refused, Trouble::Cornered, Trouble::Apart] {
+    for how in [Trouble::Back, Trouble::Ended, Trouble::Refused, Trouble::Isolated, Trouble::Apart] {
         for (n, offset) in (0..3600).step_by(300).enumerate() {
             let story = format!("{how:?}, cancelled after {offset} ms");
             let mut sim = running(n as u64);
@@ -365,10 +365,11 @@
 fn a_team_is_at_its_limit_while_its_job_is_cancelled_and_the_leader_changes() {
     let (first, next, filler) = ("job-000003", "job-000004", "job-000005");
     let small = |run_s: f64| [("Crew", json!("small")), ("RuntimeS", json!(run_s)), ("Cores", json!(2.0))];
-    for (n, at) in
-        [Trouble::Cut, Trouble::Deaf, Trouble::Mute, Trouble::Hang, Trouble::LongHang].into_iter().enumerate()
+    for (n, at) in [Trouble::Cut, Trouble::InboundLost, Trouble::OutboundLost, Trouble::Hang, Trouble::LongHang]
+        .into_iter()
+        .enumerate()
     {
-        for change in [Trouble::Back, Trouble::Ended, Trouble::Cornered, Trouble::Refused, Trouble::Island] {
+        for change in [Trouble::Back, Trouble::Ended, Trouble::Isolated, Trouble::Refused, Trouble::Island] {
             let never = 69_000;
             for (cancelled, changed, comes) in
                 [(0, 1500, 0), (300, 300, 0), (2500, 0, 3500), (4500, 0, 3000), (0, never, 0), (9000, 300, 3000)]
@@ -420,8 +421,8 @@
             match (seed + n) % 4 {
                 0 => sim.bounce(leader, 400),
                 1 => sim.bounce(leader, 7000),
-                2 => drop(sim.state.deaf.insert(leader)),
-                _ => sim.corner(leader),
+                2 => drop(sim.state.refused_nodes.insert(leader)),
+                _ => sim.isolate(leader),
             }
             let id = format!("job-{:06}", 10 + n);
             sim.submit(&id, &[("RuntimeS", json!(4.0)), ("Cores", json!(1.0))]);
@@ -431,8 +432,8 @@
                 sim.cancel(&id);
             }
             sim.run_until(sim.now + 7000);
-            sim.state.deaf.clear();
-            sim.uncorner();
+            sim.state.refused_nodes.clear();
+            sim.reconnect();
             if n == 5 && seed > 3 {
                 (0..3).for_each(|n| sim.crash(n));
                 sim.run_until(sim.now + sim.site.lease_ms + 3000);
@@ -461,7 +462,7 @@
         }
         sim.run_until(4000 + offset);
         let leader = sim.leader().unwrap_or(0);
-        let ways = [Trouble::Back, Trouble::Ended, Trouble::Cornered, Trouble::Island];
+        let ways = [Trouble::Back, Trouble::Ended, Trouble::Isolated, Trouble::Island];
         ways[(offset / 400 % 4) as usize].begin(&mut sim);
         sim.cancel("job-000002");
         sim.run_until(sim.now + 3000);
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -13,7 +13,7 @@
     CrashAll,
     Start(usize),
     StateDown(bool),
-    Deaf(usize, bool),
+    RefuseNode(usize, bool),
     LoseAnswers(u32),
     Cut(u64),
     Heal(u64),
@@ -21,17 +21,17 @@
     Die(u64),
     Sick(u64),
     Notice(u64),
-    Deafen(u64),
+    LoseInbound(u64),
     Copies(u64, u64),
     Repeats(u64, u64),
-    Corner(usize),
+    Isolate(usize),
     Apart(usize),
     Island(usize),
     Together,
-    Uncorner,
+    Reconnect,
     Bounce(usize, u64),
     Blink(u64, u64),
-    Mute(u64),
+    LoseOutbound(u64),
     Hang(u64, u64),
     LateWrites(u64, bool),
     KeptForNext(u64),
@@ -52,7 +52,7 @@
         1 => Just(Fault::CrashAll),
         4 => node.clone().prop_map(Fault::Start),
         1 => any::<bool>().prop_map(Fault::StateDown),
-        1 => (node.clone(), any::<bool>()).prop_map(|(n, d)| Fault::Deaf(n, d)),
+        1 => (node.clone(), any::<bool>()).prop_map(|(n, d)| Fault::RefuseNode(n, d)),
         1 => (1u32..4).prop_map(Fault::LoseAnswers),
         2 => machine.clone().prop_map(Fault::Cut),
         3 => machine.clone().prop_map(Fault::Heal),
@@ -60,17 +60,17 @@
         1 => machine.clone().prop_map(Fault::Die),
         1 => machine.clone().prop_map(Fault::Sick),
         1 => machine.clone().prop_map(Fault::Notice),
-        2 => machine.clone().prop_map(Fault::Deafen),
+        2 => machine.clone().prop_map(Fault::LoseInbound),
         1 => (0u64..60, 500u64..40_000).prop_map(|(n, late)| Fault::Copies(n, late)),
         1 => (0u64..60, 500u64..40_000).prop_map(|(n, late)| Fault::Repeats(n, late)),
-        1 => node.clone().prop_map(Fault::Corner),
-        1 => Just(Fault::Uncorner),
+        1 => node.clone().prop_map(Fault::Isolate),
+        1 => Just(Fault::Reconnect),
         1 => node.clone().prop_map(Fault::Apart),
         1 => Just(Fault::Together),
         2 => node.clone().prop_map(Fault::Island),
         2 => (node.clone(), 50u64..900).prop_map(|(n, ms)| Fault::Bounce(n, ms)),
         1 => (machine.clone(), 50u64..900).prop_map(|(m, ms)| Fault::Blink(m, ms)),
-        1 => machine.clone().prop_map(Fault::Mute),
+        1 => machine.clone().prop_map(Fault::LoseOutbound),
         2 => (machine, 1000u64..30_000).prop_map(|(m, ms)| Fault::Hang(m, ms)),
         1 => (0u64..90, any::<bool>()).prop_map(|(share, at_once)| Fault::LateWrites(share, at_once)),
         1 => (0u64..60).prop_map(Fault::KeptForNext),
@@ -95,13 +95,13 @@
         Fault::CrashAll => (0..3).for_each(|n| sim.crash(n)),
         Fault::Start(n) => sim.start(*n),
         Fault::StateDown(down) => sim.state.down = *down,
-        Fault::Deaf(n, true) => {
-            sim.state.deaf.insert(*n);
+        Fault::RefuseNode(n, true) => {
+            sim.state.refused_nodes.insert(*n);
         }
-        Fault::Deaf(n, false) => {
-            sim.state.deaf.remove(n);
+        Fault::RefuseNode(n, false) => {
+            sim.state.refused_nodes.remove(n);
         }
-        Fault::LoseAnswers(n) => sim.state.mute = *n,
+        Fault::LoseAnswers(n) => sim.state.lost_answers = *n,
         Fault::Cut(n) => nth(sim, *n).into_iter().for_each(|m| sim.cut(m)),
         Fault::Heal(n) => {
             if let Some(m) = nth(sim, *n) {
@@ -117,28 +117,28 @@
             }
         }
         Fault::Notice(n) => nth(sim, *n).into_iter().for_each(|m| sim.notice(m, 8)),
-        Fault::Deafen(n) => sim.deaf.extend(nth(sim, *n)),
+        Fault::LoseInbound(n) => sim.inbound_lost.extend(nth(sim, *n)),
         Fault::Copies(share, late) => sim.copies = (*share, *late),
         Fault::Repeats(share, late) => sim.repeats = (*share, *late),
         Fault::Apart(n) => drop(sim.apart.insert(*n)),
         Fault::Island(n) => sim.cut_off(support::zone_of(&sim.site.clone(), *n), *n),
         Fault::Together => sim.apart.clear(),
-        Fault::Corner(n) => sim.corner(*n),
-        Fault::Uncorner => sim.uncorner(),
+        Fault::Isolate(n) => sim.isolate(*n),
+        Fault::Reconnect => sim.reconnect(),
         Fault::Bounce(n, ms) => sim.bounce(*n, *ms),
         Fault::Blink(n, ms) => {
             if let Some(m) = nth(sim, *n) {
                 sim.blink(m, *ms);
             }
         }
-        Fault::Mute(n) => sim.mute.extend(nth(sim, *n)),
+        Fault::LoseOutbound(n) => sim.outbound_lost.extend(nth(sim, *n)),
         Fault::Hang(n, ms) => nth(sim, *n).into_iter().for_each(|m| sim.hang(m, *ms)),
         Fault::LateWrites(share, at_once) => sim.late_writes = (*share, *at_once),
         Fault::KeptForNext(share) => sim.kept_for_next = *share,
         Fault::CloseLooks(on) => sim.close_looks = *on,
         Fault::CloudDown(down) => sim.cloud_down = *down,
         Fault::RefuseOneThenAll(ms) => {
-            sim.state.deaf.extend(sim.leader());
+            sim.state.refused_nodes.extend(sim.leader());
             let until = sim.now + ms;
             sim.run_until(until);
             sim.state.down = true;
--- a/tests/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -64,7 +64,7 @@
                         *self.capacity.entry((w.zone, w.spot)).or_insert(0) += 1;
                     }
                     self.held.remove(&id.0);
-                    self.deaf.remove(&id.0);
+                    self.inbound_lost.remove(&id.0);
                     self.frozen.remove(&id.0);
                 }
                 (200, json!({}))
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -172,9 +172,9 @@
     finished: BTreeSet<String>,
     pub hold_commands: BTreeSet<u64>,
     /// Machines whose reports arrive while answers and commands do not reach them.
-    pub deaf: BTreeSet<u64>,
+    pub inbound_lost: BTreeSet<u64>,
     /// Machines that reach no controller, while direct commands reach them.
-    pub mute: BTreeSet<u64>,
+    pub outbound_lost: BTreeSet<u64>,
     /// What waits for machines that hang.
     frozen: BTreeMap<u64, Vec<Event>>,
     /// Of a hundred transactions so many get no answer; carried out at once, or 2 to 12 s later, after newer ones.
@@ -200,7 +200,7 @@
     /// Cancelled tasks that were found running too late: each is told once.
     overran: BTreeSet<String>,
     /// Nodes without state service and other nodes, but with their workers and users.
-    pub cornered: BTreeSet<usize>,
+    pub isolated: BTreeSet<usize>,
     /// Nodes that no worker reaches, nor they any worker.
     pub apart: BTreeSet<usize>,
     /// A zone that is cut off with this node in it: they reach each other and nobody else.
@@ -274,8 +274,8 @@
             commands: 0,
             finished: BTreeSet::new(),
             hold_commands: BTreeSet::new(),
-            deaf: BTreeSet::new(),
-            mute: BTreeSet::new(),
+            inbound_lost: BTreeSet::new(),
+            outbound_lost: BTreeSet::new(),
             frozen: BTreeMap::new(),
             late_writes: (0, false),
             state_slow: 0,
@@ -289,7 +289,7 @@
             passed_over: BTreeMap::new(),
             waiting_at: 0,
             overran: BTreeSet::new(),
-            cornered: BTreeSet::new(),
+            isolated: BTreeSet::new(),
             apart: BTreeSet::new(),
             island: None,
             copies: (0, 0),
@@ -443,8 +443,8 @@
                     return self.after(950, Event::Input(node, epoch, Box::new(none)));
                 }
                 let (status, body) = self.state.handle(self.now, node, &call);
-                let reply = if self.state.mute > 0 && status != 503 {
-                    self.state.mute -= 1;
+                let reply = if self.state.lost_answers > 0 && status != 503 {
+                    self.state.lost_answers -= 1;
                     Reply::none()
                 } else {
                     Reply { status, body: body.to_string().into() }
@@ -464,7 +464,7 @@
             }
             Event::Command { node, epoch, token, machine, id, body } => {
                 let Some(w) = self.workers.get(&machine) else { return };
-                if w.cut || self.hold_commands.contains(&machine) || self.deaf.contains(&machine) {
+                if w.cut || self.hold_commands.contains(&machine) || self.inbound_lost.contains(&machine) {
                     let event = Event::Command { node, epoch, token, machine, id, body };
                     return self.held.entry(machine).or_default().push(event);
                 }
@@ -495,7 +495,7 @@
                     return self.held.entry(machine).or_default().push(Event::Report(machine, number, report));
                 }
                 let node = (number % self.count()) as usize;
-                if !self.reaches(node, machine) || self.mute.contains(&machine) {
+                if !self.reaches(node, machine) || self.outbound_lost.contains(&machine) {
                     return; // the worker waits for its answer in vain
                 }
                 if self.nodes[node].is_none() {
@@ -516,7 +516,7 @@
             }
             Event::WorkerAnswer { machine, number, session, sent, answer } => {
                 let Some(w) = self.workers.get_mut(&machine) else { return };
-                if w.waiting != Some(number) || w.cut || self.deaf.contains(&machine) {
+                if w.waiting != Some(number) || w.cut || self.inbound_lost.contains(&machine) {
                     return;
                 }
                 if self.now > sent + 4000 {
--- a/tests/support/nodes.rs
+++ b/tests/support/nodes.rs
@@ -35,7 +35,7 @@
     /// Tells a node and all others that can reach it that their links are up or down.
     pub(super) fn link(&mut self, node: usize, up: bool, delay: u64) {
         for other in (0..self.site.nodes).filter(|o| *o != node) {
-            let apart = self.cornered.contains(&node) || self.cornered.contains(&other);
+            let apart = self.isolated.contains(&node) || self.isolated.contains(&other);
             if self.nodes[other].is_some() && !(up && apart) {
                 self.input(node, Input::Link(name(other), up), delay);
                 self.input(other, Input::Link(name(node), up), delay);
@@ -44,17 +44,17 @@
     }
 
     /// Cuts a node off from the state service and the other nodes; its workers and users reach it.
-    pub fn corner(&mut self, node: usize) {
-        if self.cornered.insert(node) {
-            self.state.deaf.insert(node);
+    pub fn isolate(&mut self, node: usize) {
+        if self.isolated.insert(node) {
+            self.state.refused_nodes.insert(node);
             self.link(node, false, 5);
         }
     }
 
     /// Cuts a zone off, with this node in it.
     pub fn cut_off(&mut self, zone: &str, node: usize) {
-        if self.cornered.is_empty() {
-            self.corner(node);
+        if self.isolated.is_empty() {
+            self.isolate(node);
             self.island = Some((zone.to_string(), node));
         }
     }
@@ -68,10 +68,10 @@
         !self.apart.contains(&node) && self.island.as_ref().is_none_or(within)
     }
 
-    pub fn uncorner(&mut self) {
+    pub fn reconnect(&mut self) {
         self.island = None;
-        for node in std::mem::take(&mut self.cornered) {
-            self.state.deaf.remove(&node);
+        for node in std::mem::take(&mut self.isolated) {
+            self.state.refused_nodes.remove(&node);
             self.link(node, true, 30);
         }
     }
@@ -115,19 +115,19 @@
     /// All troubles are over, whatever they were.
     pub fn mend(&mut self) {
         self.state.down = false;
-        self.state.mute = 0;
-        self.mute.clear();
+        self.state.lost_answers = 0;
+        self.outbound_lost.clear();
         self.late_writes = (0, false);
         self.state_slow = 0;
         self.kept_for_next = 0;
         self.cloud_down = false;
         self.state.writes_left = None;
-        self.state.deaf.clear();
+        self.state.refused_nodes.clear();
         self.copies = (0, 0);
         self.repeats = (0, 0);
         self.apart.clear();
         self.island = None;
-        self.uncorner();
+        self.reconnect();
         (0..self.site.nodes).for_each(|n| self.start(n));
         let machines: Vec<u64> = self.workers.keys().copied().collect();
         for m in machines {
@@ -203,7 +203,7 @@
                 }
                 Effect::Answer(Origin::Peer(link, id), answer) => {
                     let (to, its_epoch) = ((link % self.count()) as usize, link / self.count());
-                    if self.cornered.contains(&node) || self.cornered.contains(&to) {
+                    if self.isolated.contains(&node) || self.isolated.contains(&to) {
                         continue;
                     }
                     self.after(delay, Event::Input(to, its_epoch, Box::new(Input::Forwarded(id, answer))));
@@ -228,7 +228,7 @@
                 }
                 Effect::Announce(token) => {
                     for to in (0..self.site.nodes).filter(|n| *n != node) {
-                        if self.nodes[to].is_some() && !self.cornered.contains(&node) && !self.cornered.contains(&to) {
+                        if self.nodes[to].is_some() && !self.isolated.contains(&node) && !self.isolated.contains(&to) {
                             self.input(to, Input::Leads(name(node), token), delay);
                         }
                     }
@@ -236,7 +236,7 @@
                 Effect::Forward(to, id, call) => {
                     let target = (0..self.site.nodes).find(|n| name(*n) == to).expect("a known node");
                     let link = epoch * self.count() + node as u64;
-                    if self.cornered.contains(&node) || self.cornered.contains(&target) {
+                    if self.isolated.contains(&node) || self.isolated.contains(&target) {
                         continue;
                     }
                     self.input(target, Input::User(Origin::Peer(link, id), call), delay);
--- a/tests/support/state.rs
+++ b/tests/support/state.rs
@@ -12,9 +12,9 @@
     pub(super) leases: BTreeMap<u64, (u64, u64)>,
     pub(super) ledger: u64,
     pub down: bool,
-    pub deaf: BTreeSet<usize>,
+    pub refused_nodes: BTreeSet<usize>,
     /// Answers still to be lost although the request is carried out.
-    pub mute: u32,
+    pub lost_answers: u32,
     /// Requests after which only 503 comes: cuts a snapshot off at a step.
     pub writes_left: Option<u32>,
     pub page: usize,
@@ -29,8 +29,8 @@
             leases: BTreeMap::new(),
             ledger: 0,
             down: false,
-            deaf: BTreeSet::new(),
-            mute: 0,
+            refused_nodes: BTreeSet::new(),
+            lost_answers: 0,
             writes_left: None,
             page: 5,
             value_bytes: 1024,
@@ -70,7 +70,7 @@
 
     /// Whether this node gets nothing but 503.
     pub(super) fn refuses(&self, node: usize) -> bool {
-        self.down || self.deaf.contains(&node)
+        self.down || self.refused_nodes.contains(&node)
     }
 
     pub fn handle(&mut self, now: u64, node: usize, call: &StateCall) -> (u16, Value) {
--- a/tests/support/workers.rs
+++ b/tests/support/workers.rs
@@ -47,8 +47,8 @@
 
     /// Ends a cut or deafness: what was held back is delivered, in order.
     pub fn heal(&mut self, machine: u64) {
-        self.deaf.remove(&machine);
-        self.mute.remove(&machine);
+        self.inbound_lost.remove(&machine);
+        self.outbound_lost.remove(&machine);
         self.hold_commands.remove(&machine);
         if let Some(w) = self.workers.get_mut(&machine) {
             w.cut = false;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -65,12 +65,12 @@
             ("start", [n]) => sim.start(node(n)),
             ("state", ["down"]) => sim.state.down = true,
             ("state", ["up"]) => sim.state.down = false,
-            ("state", ["deaf", "leader"]) => {
+            ("state", ["refuses", "leader"]) => {
                 let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
-                sim.state.deaf.insert(leader);
+                sim.state.refused_nodes.insert(leader);
             }
-            ("state", ["hears", "all"]) => sim.state.deaf.clear(),
-            ("state", ["loses", n]) => sim.state.mute = n.parse().expect("a count"),
+            ("state", ["serves", "all"]) => sim.state.refused_nodes.clear(),
+            ("state", ["loses", n]) => sim.state.lost_answers = n.parse().expect("a count"),
             ("state", ["writes", n]) => sim.state.writes_left = n.parse().ok(),
             ("cut", [m]) => {
                 let m = machine(&sim, &mut names, m);
@@ -80,9 +80,9 @@
                 let m = machine(&sim, &mut names, m);
                 sim.heal(m);
             }
-            ("deaf", [m]) => {
+            ("inbound_lost", [m]) => {
                 let m = machine(&sim, &mut names, m);
-                sim.deaf.insert(m);
+                sim.inbound_lost.insert(m);
             }
             ("copies", [percent, seconds]) => {
                 let late: u64 = seconds.parse().expect("seconds");
@@ -98,25 +98,25 @@
                 sim.apart.insert(leader);
                 names.insert("crashed".into(), leader as u64);
             }
-            ("corner", ["leader"]) => {
+            ("isolate", ["leader"]) => {
                 let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
-                sim.corner(leader);
+                sim.isolate(leader);
                 names.insert("crashed".into(), leader as u64);
-                names.insert("cornered".into(), leader as u64);
+                names.insert("isolated".into(), leader as u64);
             }
-            ("corner", ["follower"]) => {
+            ("isolate", ["follower"]) => {
                 let follower = (0..3).find(|n| Some(*n) != sim.leader()).expect("three nodes");
-                sim.corner(follower);
-                names.insert("cornered".into(), follower as u64);
+                sim.isolate(follower);
+                names.insert("isolated".into(), follower as u64);
             }
             ("cut-off-zone", ["leader"]) => {
                 let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
                 let zone = support::zone_of(&sim.site, leader);
                 sim.cut_off(zone, leader);
-                names.insert("cornered".into(), leader as u64);
+                names.insert("isolated".into(), leader as u64);
                 names.insert("crashed".into(), leader as u64);
             }
-            ("uncorner", []) => sim.uncorner(),
+            ("reconnect", []) => sim.reconnect(),
             ("bounce", ["leader", ms]) => {
                 let leader = sim.leader().unwrap_or_else(|| panic!("{at}: nobody leads"));
                 sim.bounce(leader, ms.parse().expect("milliseconds"));
@@ -127,10 +127,10 @@
                 let m = machine(&sim, &mut names, m);
                 sim.blink(m, ms.parse().expect("milliseconds"));
             }
-            ("probe", ["cornered"]) => sim.probe(names["cornered"] as usize),
-            ("ask", ["cornered", id]) => {
+            ("probe", ["isolated"]) => sim.probe(names["isolated"] as usize),
+            ("ask", ["isolated", id]) => {
                 sim.slowest = 0;
-                sim.ask_at(names["cornered"] as usize, id.to_string(), UserCall::Get(id.to_string()));
+                sim.ask_at(names["isolated"] as usize, id.to_string(), UserCall::Get(id.to_string()));
             }
             ("mend", []) => sim.mend(),
             ("hold-commands", [m]) => {
@@ -193,8 +193,8 @@
             let ago = sim.now - sim.jobs[*id].answered_at;
             assert!(ago <= ms.parse().expect("milliseconds"), "{at}: {id} was answered for {ago} ms ago");
         }
-        ["healthy", "cornered", yes] => {
-            assert_eq!(sim.healthy[&(names["cornered"] as usize)], *yes == "yes", "{at}");
+        ["healthy", "isolated", yes] => {
+            assert_eq!(sim.healthy[&(names["isolated"] as usize)], *yes == "yes", "{at}");
         }
         ["keys", prefix, "below", n] => {
             let keys = sim.state.keys.keys().filter(|k| k.starts_with(*prefix)).count();
@@ -222,22 +222,22 @@
 }
 
 traces! {
-    back_in_a_moment,
+    restart_within_a_second,
     cancel_with_a_machine_unreachable,
     crash_between_commit_and_answer,
-    deaf_machine,
-    deaf_machine_and_a_new_leader,
-    deaf_machine_gets_nothing,
+    machine_without_inbound,
+    machine_without_inbound_and_a_new_leader,
+    machine_without_inbound_gets_nothing,
     delayed_run_after_a_kill,
     deposed_leader_wakes,
     done_before_and_after_failover,
     election_with_a_lost_answer,
     failing_machine_and_failing_job,
     finish_not_yet_durable,
-    follower_in_its_corner,
+    isolated_follower,
     late_copies,
     late_repeats,
-    leader_in_its_corner,
+    isolated_leader,
     leader_without_workers,
     leader_within_a_zone_that_is_cut_off,
     outage_then_all_nodes_lost,
--- a/tests/upgrades.rs
+++ b/tests/upgrades.rs
@@ -114,7 +114,7 @@
         ("late writes", |sim| sim.late_writes = (60, false)),
         ("repeats", |sim| sim.repeats = (100, 20_000)),
         ("slow", |sim| sim.state_slow = 300),
-        ("refused", |sim| sim.state.deaf.extend(sim.leader())),
+        ("refused", |sim| sim.state.refused_nodes.extend(sim.leader())),
         ("outage", |sim| sim.state.down = true),
         ("ends", |sim| {
             let leader = sim.leader().unwrap_or(0);
