One piece of code makes room for services and for gangs; comments that a rename had garbled

Term::make_room had the loop that gangs' PressedMachine wrote again; both use PressedMachine now, one task at a time for services as before. replace_lost copied what teams use without need. The records tests read an empty log in three places, now in one. 'Resources is made' and the like say room again. No behaviour changes; all tests pass as they were.

--- a/src/plan.rs
+++ b/src/plan.rs
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Resources of a machine after a start in the same round.
+    /// Room of a machine after a start in the same round.
     pub fn set_free(&mut self, id: MachineId, free: Resources) {
         if let Some(server) = self.servers.get_mut(&id) {
             server.free = free;
--- a/src/plan/model.rs
+++ b/src/plan/model.rs
@@ -69,13 +69,13 @@
     /// Among machines that are as good, the one with the smaller value is taken, for endless and
     /// for other tasks: cheap and already used ones first.
     pub bias: (u64, u64),
-    /// Resources that is free now.
+    /// Room that is free now.
     pub free: Resources,
     /// Part of the free room that is kept ahead for what must start at once.
     pub kept: Resources,
-    /// Resources of tasks that may be pushed aside, by the rank of what pushes them: the most important services, and gangs.
+    /// Room of tasks that may be pushed aside, by the rank of what pushes them: the most important services, and gangs.
     pub soft: [Resources; PUSHING_RANKS],
-    /// Resources that running tasks are predicted to give back.
+    /// Room that running tasks are predicted to give back.
     pub releases: Vec<(Time, Resources)>,
     /// Images that it holds, in order.
     pub images: Vec<Image>,
--- a/src/plan/simulation.rs
+++ b/src/plan/simulation.rs
@@ -67,7 +67,7 @@
     late
 }
 
-/// Resources that is given back at some time: CPUs, GPUs and memory.
+/// Room that is given back at some time: CPUs, GPUs and memory.
 pub(super) type Release = (Time, u64, u64, u64);
 
 pub(super) fn release(at: Time, room: &Resources) -> Release {
@@ -101,7 +101,7 @@
             if let Some(rank) = entry.pushes_aside.map(usize::from).filter(|rank| *rank < PUSHING_RANKS)
                 && !entry.need.fits(&free)
             {
-                // Resources is made at once, at the cost of lower tasks.
+                // Room is made at once, at the cost of lower tasks.
                 let mut all = free;
                 all.add(&soft[rank]);
                 if entry.need.fits(&all) {
--- a/src/provisioning.rs
+++ b/src/provisioning.rs
@@ -27,14 +27,14 @@
 const COMMIT_AND_RENT: Duration = Duration(5000);
 /// Share of the tasks expected within a boot for which room is kept ahead; the others find that of jobs that end.
 const CLASS_ROOM_SHARE: f64 = 0.5;
-/// Resources is kept for so many of the largest jobs of a class, whatever is expected.
+/// Room is kept for so many of the largest jobs of a class, whatever is expected.
 const LARGEST_JOBS: u64 = 2;
 
-/// Resources of a machine that is not promised to anything yet.
+/// Room of a machine that is not promised to anything yet.
 struct FreeRoom {
     machine: MachineId,
     free: Resources,
-    /// Resources of tasks that services may push aside.
+    /// Room of tasks that services may push aside.
     soft: Resources,
 }
 
@@ -217,7 +217,7 @@
         })
     }
 
-    /// Resources for jobs of a class that are likely to come within a boot: what ends meanwhile makes room for half of them, but the
+    /// Room for jobs of a class that are likely to come within a boot: what ends meanwhile makes room for half of them, but the
     /// largest one must find room at any time.
     fn class_headroom(
         &self,
--- a/src/records/tests.rs
+++ b/src/records/tests.rs
@@ -9,8 +9,12 @@
 /// A leader that has read an empty log back.
 fn loaded() -> Records {
     let limits = StateLimits { rps: 400.0, write_rps: 50.0, value_kb: 8.0, txn_ops: 24, next: None };
-    let (mut records, mut out) =
-        (Records::new(Token(5), Format::One, Time(0), &limits, &Tuning::default()), Vec::new());
+    with_empty_log(Format::One, &limits)
+}
+
+/// A leader under these limits that has read an empty log back.
+fn with_empty_log(format: Format, limits: &StateLimits) -> Records {
+    let (mut records, mut out) = (Records::new(Token(5), format, Time(0), limits, &Tuning::default()), Vec::new());
     records.start(Time(0), &mut out);
     for id in 1..=2 {
         records.reply(Time(1), id, &answer(200, json!({"Pairs": [], "More": false, "Ledger": 5})), &mut out);
@@ -47,12 +51,7 @@
 fn limits_that_will_be_lowered_are_kept_now_and_a_rate_once_it_is_refused() {
     let next = NextLimits { rps: None, write_rps: Some(15.0), value_kb: Some(2.0), txn_ops: Some(5) };
     let limits = StateLimits { rps: 400.0, write_rps: 50.0, value_kb: 8.0, txn_ops: 24, next: Some(next) };
-    let (mut records, mut out) =
-        (Records::new(Token(5), Format::One, Time(0), &limits, &Tuning::default()), Vec::new());
-    records.start(Time(0), &mut out);
-    for id in 1..=2 {
-        records.reply(Time(1), id, &answer(200, json!({"Pairs": [], "More": false, "Ledger": 5})), &mut out);
-    }
+    let (mut records, mut out) = (with_empty_log(Format::One, &limits), Vec::new());
     for n in 0..2000 {
         records.push(Record::Image(MachineId(n), "an-image-with-a-long-name".into()));
     }
@@ -82,12 +81,7 @@
 /// A leader with an empty log that writes values of 2 KiB at the most.
 fn lowered(format: Format) -> Records {
     let limits = StateLimits { rps: 400.0, write_rps: 500.0, value_kb: 2.0, txn_ops: 24, next: None };
-    let (mut records, mut out) = (Records::new(Token(5), format, Time(0), &limits, &Tuning::default()), Vec::new());
-    records.start(Time(0), &mut out);
-    for id in 1..=2 {
-        records.reply(Time(1), id, &answer(200, json!({"Pairs": [], "More": false, "Ledger": 5})), &mut out);
-    }
-    records
+    with_empty_log(format, &limits)
 }
 
 #[test]
--- a/src/scheduling/gangs.rs
+++ b/src/scheduling/gangs.rs
@@ -1,6 +1,6 @@
 //! Gangs: planned, started, completed and stopped as a whole.
 
-use super::room::{Victim, room_soon, victims_needed};
+use super::room::PressedMachine;
 use super::*;
 use crate::gang;
 
@@ -113,11 +113,11 @@
                     complete = false;
                     break;
                 };
-                let mut pressed = rooms.get(&machine).cloned().unwrap_or_else(|| PressedMachine {
-                    free: room_soon(m),
-                    victims: self.victims(m, now, job.record.rank),
-                });
-                pressed.victims.retain(|victim| victim.rank > job.record.rank);
+                let mut pressed = rooms
+                    .get(&machine)
+                    .cloned()
+                    .unwrap_or_else(|| PressedMachine::new(m, self.victims(m, now, job.record.rank)));
+                pressed.spare(job.record.rank);
                 let stopped = pressed.make_room(&job.record.need, count);
                 complete &= stopped.is_some();
                 trial.push((machine, pressed, stopped.unwrap_or_default()));
@@ -192,7 +192,7 @@
 
     /// Starts the tasks of a gathering gang that were lost with their machines again, under the attempt of the others.
     fn replace_lost(&mut self, now: Time, id: JobId) {
-        let used = self.team_use();
+        let mut used = self.team_use();
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(gang) = &mut job.gang else { return };
         gang.missing_since.get_or_insert(now);
@@ -214,7 +214,7 @@
         if let Some(gang) = self.jobs.get_mut(id).and_then(|job| job.gang.as_mut()) {
             gang.former.insert(machine);
         }
-        self.start_attempt(now, machine, TaskAttempt { attempt, task }, predicted, &mut used.clone());
+        self.start_attempt(now, machine, TaskAttempt { attempt, task }, predicted, &mut used);
     }
 
     /// Stops all tasks of a gang with the same time for saving; what is told to stop already is left to do so.
@@ -245,27 +245,3 @@
         self.dirty = true;
     }
 }
-
-/// A machine on which room is made.
-#[derive(Debug, Clone)]
-struct PressedMachine {
-    free: Resources,
-    /// What may be stopped, least loss first.
-    victims: Vec<Victim>,
-}
-
-impl PressedMachine {
-    /// Takes room for so many tasks; what has to be stopped for it, or `None` if that is not enough.
-    fn make_room(&mut self, need: &Resources, count: u32) -> Option<Vec<TaskAttempt>> {
-        let mut stopped = Vec::new();
-        for _ in 0..count {
-            let enough = victims_needed(need, self.free, &self.victims)?;
-            for victim in self.victims.drain(..enough) {
-                self.free.add(&victim.need);
-                stopped.push(victim.key);
-            }
-            self.free.sub(need);
-        }
-        Some(stopped)
-    }
-}
--- a/src/scheduling/room.rs
+++ b/src/scheduling/room.rs
@@ -13,8 +13,8 @@
     pub(super) lost: Duration,
 }
 
-/// Resources of a machine once everything that was told to stop is gone.
-pub(super) fn room_soon(machine: &Machine) -> Resources {
+/// Room of a machine once everything that was told to stop is gone.
+fn room_soon(machine: &Machine) -> Resources {
     let mut free = machine.free();
     for hold in machine.holds.values().filter(|h| h.occupies() && h.stop.is_some()) {
         free.add(&hold.need);
@@ -23,7 +23,7 @@
 }
 
 /// How many of these victims, from the first on, have to be stopped so that `need` fits; `None`: all are not enough.
-pub(super) fn victims_needed(need: &Resources, mut free: Resources, victims: &[Victim]) -> Option<usize> {
+fn victims_needed(need: &Resources, mut free: Resources, victims: &[Victim]) -> Option<usize> {
     for (count, victim) in victims.iter().enumerate() {
         if need.fits(&free) {
             return Some(count);
@@ -33,6 +33,40 @@
     need.fits(&free).then_some(victims.len())
 }
 
+/// A machine on which room is made.
+#[derive(Debug, Clone)]
+pub(super) struct PressedMachine {
+    free: Resources,
+    /// What may be stopped, least loss first.
+    victims: Vec<Victim>,
+}
+
+impl PressedMachine {
+    /// A machine with what may be stopped there.
+    pub(super) fn new(machine: &Machine, victims: Vec<Victim>) -> PressedMachine {
+        PressedMachine { free: room_soon(machine), victims }
+    }
+
+    /// Leaves alone what a job of this rank may not stop.
+    pub(super) fn spare(&mut self, rank: u8) {
+        self.victims.retain(|victim| victim.rank > rank);
+    }
+
+    /// Takes room for so many tasks; what has to be stopped for it, or `None` if that is not enough.
+    pub(super) fn make_room(&mut self, need: &Resources, count: u32) -> Option<Vec<TaskAttempt>> {
+        let mut stopped = Vec::new();
+        for _ in 0..count {
+            let enough = victims_needed(need, self.free, &self.victims)?;
+            for victim in self.victims.drain(..enough) {
+                self.free.add(&victim.need);
+                stopped.push(victim.key);
+            }
+            self.free.sub(need);
+        }
+        Some(stopped)
+    }
+}
+
 impl Term {
     /// Stops tasks of lower priority where services are planned that would have to wait for room.
     ///
@@ -44,20 +78,16 @@
             self.plans.waiting().take_while(|(order, ..)| order.rank == 0).flat_map(|(.., at)| at).collect();
         for server in pressed.iter().filter_map(|id| self.plans.server(*id)) {
             let Some(machine) = self.machines.get(&server.id).filter(|m| m.usable()) else { continue };
-            let mut free = room_soon(machine);
-            let mut victims: Option<Vec<Victim>> = None;
+            let mut pressed: Option<PressedMachine> = None;
             for entry in server.queue.iter().filter(|e| e.endless && e.order.rank == 0) {
                 if !self.jobs.get(entry.job).is_some_and(|job| self.startable(job, now)) {
                     continue;
                 }
+                let pressed =
+                    pressed.get_or_insert_with(|| PressedMachine::new(machine, self.victims(machine, now, 0)));
                 for _ in 0..entry.count {
-                    let victims = victims.get_or_insert_with(|| self.victims(machine, now, 0));
-                    let Some(count) = victims_needed(&entry.need, free, victims) else { break };
-                    for victim in victims.drain(..count) {
-                        free.add(&victim.need);
-                        stops.push((server.id, victim.key, entry.job));
-                    }
-                    free.sub(&entry.need);
+                    let Some(stopped) = pressed.make_room(&entry.need, 1) else { break };
+                    stops.extend(stopped.into_iter().map(|key| (server.id, key, entry.job)));
                 }
             }
         }
--- a/src/scheduling/starts.rs
+++ b/src/scheduling/starts.rs
@@ -163,7 +163,7 @@
     }
 }
 
-/// Resources of a machine that is kept for gangs that are ahead in its queue and wait for room elsewhere.
+/// Room of a machine that is kept for gangs that are ahead in its queue and wait for room elsewhere.
 #[derive(Debug, Default)]
 struct Reservation {
     room: Resources,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -319,7 +319,7 @@
     pub snapshot_every: u64,
     /// Ordinary machines are paid for tasks that could wait only for aims of at least this share.
     pub strict_aim: f64,
-    /// Resources is kept for so many times the services that are likely to come within a boot: they come in
+    /// Room is kept for so many times the services that are likely to come within a boot: they come in
     /// bursts, and dying machines need it too.
     pub room_ahead: f64,
 }
--- a/src/term.rs
+++ b/src/term.rs
@@ -204,7 +204,7 @@
     pub fn open(&self) -> bool {
         self.unfenced.is_empty()
     }
-    /// The job jobs.
+    /// The job store.
     pub fn jobs(&self) -> &JobStore {
         &self.jobs
     }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -123,7 +123,7 @@
 pub struct Machine {
     /// What is remembered of it.
     pub record: MachineRecord,
-    /// Resources in all.
+    /// Room in all.
     pub capacity: Resources,
     /// Whether its enrolment is durable.
     pub enrolment: Enrolment,
@@ -250,7 +250,7 @@
         now.since(self.reached) <= within
     }
 
-    /// Resources that is not taken.
+    /// Room that is not taken.
     pub fn free(&self) -> Resources {
         let mut free = self.capacity;
         for hold in self.holds.values().filter(|h| h.occupies()) {
--- a/tests/grown.rs
+++ b/tests/grown.rs
@@ -130,7 +130,7 @@
     all_served(&sim);
 }
 
-/// Resources for the replicas of a zone that is cut off is there by the time their leases end, and the zone is used again
+/// Room for the replicas of a zone that is cut off is there by the time their leases end, and the zone is used again
 /// as soon as it is back.
 #[test]
 fn replicas_of_a_lost_zone_move_when_their_leases_end() {
