--- a/src/units.rs
+++ b/crates/units/src/lib.rs
@@ -1,4 +1,6 @@
 //! Small types for ids, versions, amounts and times, so that none is mistaken for another.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -156,6 +158,13 @@
     }
 }
 
+impl std::ops::Add for Duration {
+    type Output = Duration;
+    fn add(self, other: Duration) -> Duration {
+        Duration(self.0.saturating_add(other.0))
+    }
+}
+
 impl std::ops::Div<u64> for Duration {
     type Output = Duration;
     fn div(self, by: u64) -> Duration {
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -359,13 +359,6 @@
     }
 }
 
-impl std::ops::Add for Duration {
-    type Output = Duration;
-    fn add(self, other: Duration) -> Duration {
-        Duration(self.0.saturating_add(other.0))
-    }
-}
-
 fn refuse(refused: &mut HashMap<Place, (Time, Duration)>, now: Time, place: Place) {
     let pause = refused.get(&place).map_or(Duration(5000), |(_, last)| Duration((last.0 * 2).min(30_000)));
     refused.insert(place, (now + pause, pause));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub use caperstile_units as units;
+
 pub mod arrivals;
 pub mod cli;
 pub mod controller;
@@ -22,7 +24,6 @@
 pub mod settings;
 pub mod store;
 pub mod term;
-pub mod units;
 pub mod upgrade;
 pub mod wire;
 pub mod workers;
