Drains: disruption budgets and stepwise drains as a package, joined to the term

Off by default: without [drains] enabled = yes nothing changes.

Ruled out while building: a drain in parts was held up by a machine that waited for a render (a_drain_stalls_behind_a_long_render failed); a request whose drain was forgotten would have been taken anew, so the request goes first.

--- /dev/null
+++ b/crates/disruption/src/coordinator.rs
@@ -0,0 +1,247 @@
+//! The leader's view of all drains: what is charged, which machines are being emptied, and what comes next.
+//!
+//! Each round settles what is over, follows the operators, stops what is charged durably, and charges what the budgets leave. A
+//! task is told to stop only in a round after its charge was written, and only if the budgets still allow it then.
+
+mod charges;
+mod durable;
+mod operators;
+mod steps;
+
+use crate::allowance::{Allowances, LastEvictions};
+use crate::budget::{Policy, TaskClass};
+use crate::drain::Drain;
+use crate::fleet::{ChargeState, Demand, Fleet, Place};
+use crate::records::{Charge, Phase, Status};
+use crate::store::Store;
+use caperstile_units::{JobId, MachineId, TaskAttempt, Time, Wall};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What is told to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stop {
+    /// One task.
+    Task {
+        /// Its machine.
+        machine: MachineId,
+        /// The attempt.
+        key: TaskAttempt,
+    },
+    /// All tasks of a gang.
+    Gang(JobId),
+}
+
+/// What a round wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Plan nothing more on this machine, and return it once it is empty.
+    Cordon(MachineId),
+    /// Plan on it again.
+    Uncordon(MachineId),
+    /// Stop a task, or a gang.
+    Stop(Stop),
+    /// Rent so many machines.
+    Rent(Place, u32),
+}
+
+/// A machine that is being emptied.
+#[derive(Debug, Clone, Default)]
+struct Emptying {
+    /// For which drain; none: consolidation.
+    drain: Option<String>,
+    since: Wall,
+    charges: BTreeSet<Charge>,
+    /// Charges whose tasks this leader told to stop.
+    commanded: BTreeSet<Charge>,
+    /// Its drain was called off: it takes work again, and only its charges are still counted.
+    released: bool,
+}
+
+/// What a round knows and gathers.
+struct Round<'a> {
+    now: Time,
+    wall: Wall,
+    fleet: &'a dyn Fleet,
+    demand: BTreeMap<TaskClass, Demand>,
+    /// For whom or what each drain waits.
+    waits: BTreeMap<String, Vec<String>>,
+    effects: Vec<Effect>,
+}
+
+impl Round<'_> {
+    /// Notes why a drain waits.
+    fn wait(&mut self, drain: Option<&String>, reason: String) {
+        if let Some(name) = drain {
+            self.waits.entry(name.clone()).or_default().push(reason);
+        }
+    }
+}
+
+/// State of all drains under one leader.
+#[derive(Debug)]
+pub struct Coordinator {
+    policy: Policy,
+    store: Store,
+    value_bytes: usize,
+    restored: bool,
+    drains: BTreeMap<String, Drain>,
+    emptying: BTreeMap<MachineId, Emptying>,
+    last: LastEvictions,
+    /// Replicas for which no room was found in the last round.
+    without_room: u32,
+    told: Time,
+}
+
+impl Coordinator {
+    /// A leader's, at the begin of its term. `value_bytes`, `ops` and `rate` are what the state service takes.
+    pub fn new(policy: Policy, now: Time, value_bytes: usize, ops: usize, rate: f64) -> Coordinator {
+        Coordinator {
+            policy,
+            store: Store::new(now, ops, rate),
+            value_bytes,
+            restored: false,
+            drains: BTreeMap::new(),
+            emptying: BTreeMap::new(),
+            last: LastEvictions::new(now),
+            without_room: 0,
+            told: Time(0),
+        }
+    }
+
+    /// The durable records.
+    pub fn store(&mut self) -> &mut Store {
+        &mut self.store
+    }
+
+    /// Takes other budgets over. What is out already counts against them.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
+    /// Whether drains are carried out at all.
+    pub fn enabled(&self) -> bool {
+        self.policy.enabled
+    }
+
+    /// Whether there is nothing to do in a round.
+    pub fn is_idle(&self) -> bool {
+        let answered = |(name, asked): (&String, &crate::store::Asked)| {
+            self.drains.get(name).is_some_and(|drain| drain.status.request == asked.revision)
+        };
+        let live = self.drains.values().any(|drain| drain.status.phase.is_live());
+        !self.policy.enabled
+            || (self.restored
+                && self.emptying.is_empty()
+                && self.store.settled()
+                && !live
+                && self.store.requests().iter().all(answered))
+    }
+
+    /// How a drain stands.
+    pub fn status(&self, name: &str) -> Option<&Status> {
+        self.drains.get(name).map(|drain| &drain.status)
+    }
+
+    /// Machines that are to be emptied now or later, so that they are better not filled.
+    pub fn members(&self) -> impl Iterator<Item = MachineId> {
+        let running = self.drains.values().filter(|drain| drain.runs());
+        running.flat_map(|drain| drain.members.keys().copied())
+    }
+
+    /// Whether a machine belongs to a drain that runs.
+    pub fn is_member(&self, id: MachineId) -> bool {
+        self.drains.values().any(|drain| drain.runs() && drain.members.contains_key(&id))
+    }
+
+    /// Replicas that wait for room, which is to be rented for them.
+    pub fn without_room(&self) -> u32 {
+        self.without_room
+    }
+
+    /// Whether a machine was rented to replace one of a running drain, so that it is kept although it is idle.
+    pub fn keeps_idle(&self, id: MachineId, place: &Place, rented_at: Wall) -> bool {
+        let replaces = |drain: &Drain| {
+            drain.runs()
+                && drain.replaces()
+                && rented_at >= drain.status.accepted_at
+                && !drain.members.contains_key(&id)
+                && drain.members.values().any(|member| member == place)
+        };
+        self.drains.values().any(replaces)
+    }
+
+    /// One round; to be called again after each write.
+    pub fn round(&mut self, now: Time, wall: Wall, fleet: &dyn Fleet) -> Vec<Effect> {
+        if !self.policy.enabled || !self.store.loaded() {
+            return Vec::new();
+        }
+        if !self.restored {
+            self.restore();
+        }
+        let demand = fleet.demand();
+        let mut round = Round { now, wall, fleet, demand, waits: BTreeMap::new(), effects: Vec::new() };
+        self.follow_requests(&round);
+        self.release_cancelled(&mut round);
+        self.without_room = 0;
+        if fleet.settled() {
+            self.settle(fleet);
+            self.step(&mut round);
+        } else {
+            self.wait_all(&mut round, "machines that an earlier leader commanded have not answered yet");
+        }
+        self.cordon(&mut round);
+        self.tell(&round);
+        self.keep();
+        round.effects
+    }
+
+    fn step(&mut self, round: &mut Round<'_>) {
+        let active =
+            self.emptying.values().any(|emptying| self.goes_on(emptying)) || self.drains.values().any(Drain::runs);
+        if !active {
+            return;
+        }
+        if let Some(zone) = round.fleet.lost_zone() {
+            return self.wait_all(round, &format!("zone {zone} is out of reach"));
+        }
+        self.drop_what_exceeds(round);
+        let mut allowances = self.allowances(round);
+        self.command(round, &allowances);
+        self.charge_more(round, &mut allowances);
+        self.begin(round, &mut allowances);
+    }
+
+    fn wait_all(&self, round: &mut Round<'_>, reason: &str) {
+        for (name, _) in self.drains.iter().filter(|(_, drain)| drain.runs()) {
+            round.wait(Some(name), reason.to_string());
+        }
+    }
+
+    /// Whether a machine is to be emptied further: its drain runs, or it is being consolidated.
+    fn goes_on(&self, emptying: &Emptying) -> bool {
+        let runs = |name: &String| self.drains.get(name).is_some_and(Drain::runs);
+        !emptying.released && emptying.drain.as_ref().is_none_or(runs)
+    }
+
+    fn allowances(&self, round: &Round<'_>) -> Allowances {
+        let charges: Vec<(ChargeState, u32)> = self
+            .emptying
+            .values()
+            .flat_map(|emptying| &emptying.charges)
+            .map(|charge| (round.fleet.charge_state(charge), charge.count))
+            .collect();
+        let counted = charges.iter().map(|(state, count)| (state, *count));
+        Allowances::new(&self.policy, round.now, round.wall, &round.demand, counted, &self.last)
+    }
+
+    /// Returns charges, forgets machines that are gone, and ends drains.
+    fn settle(&mut self, fleet: &dyn Fleet) {
+        self.return_charges(fleet);
+        self.emptying.retain(|id, emptying| !emptying.charges.is_empty() || (!emptying.released && fleet.exists(*id)));
+        for drain in self.drains.values_mut().filter(|drain| drain.runs()) {
+            if !drain.members.keys().any(|id| fleet.exists(*id)) {
+                drain.status.phase = Phase::Done;
+            }
+        }
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::operator::drain;
 use crate::settings::Settings;
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
@@ -29,12 +30,15 @@
         #[arg(long, value_name = "FILE")]
         operators: Option<PathBuf>,
     },
+    /// Empty and return machines of a running service, within the teams' disruption budgets.
+    Drain(drain::Arguments),
 }
 
 /// Runs the program.
 pub fn main() -> ExitCode {
     let cli = Cli::parse();
     let (file, operators, start) = match (cli.command, cli.config) {
+        (Some(Command::Drain(arguments)), _) => return drain::main(&arguments),
         (Some(Command::Check { file, operators }), _) => (file, operators, false),
         (None, Some(file)) => (file, cli.operators, true),
         (None, None) => return ExitCode::from(2),
@@ -48,10 +52,15 @@
     };
     if !start {
         println!("{}: settings of node {} can be used", file.display(), settings.node);
+        for scope in settings.policy.without_budget() {
+            println!(
+                "the budget of {scope} is 0: its services are never moved, and machines with them cannot be drained"
+            );
+        }
         return ExitCode::SUCCESS;
     }
     start_logging();
-    match crate::runtime::run(settings) {
+    match crate::runtime::run(settings, operators) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("cannot run: {e}");
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -12,6 +12,7 @@
 use crate::units::{Duration, MachineId, Time, Token, Wall};
 use crate::upgrade::{self, Format, Upgrade};
 use crate::wire::{Commands, Report};
+use caperstile_disruption::Policy;
 use rand::{SeedableRng, rngs::SmallRng};
 use serde_json::json;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -34,6 +35,8 @@
     Records(u64),
     /// The upgrade.
     Upgrade,
+    /// Drains, of the term with this token.
+    Drains(u64),
 }
 
 /// What happens to a node.
@@ -61,6 +64,8 @@
     Link(String, bool),
     /// A node says that it leads, under this token.
     Leads(String, Token),
+    /// The operators have changed the disruption budgets.
+    Policy(Box<Policy>),
 }
 
 /// What a node wants done.
@@ -202,6 +207,17 @@
                     term.state(now, wall, certain, id, &reply, out)
                 });
             }
+            Input::State(Slot::Drains(token), id, reply) => {
+                self.with_term(now, token, &mut out, |term, certain, out| {
+                    term.drain_reply(now, wall, certain, id, &reply, out)
+                });
+            }
+            Input::Policy(policy) => {
+                if let Some(term) = &mut self.term {
+                    term.set_policy(now, (*policy).clone());
+                }
+                self.settings.policy = *policy;
+            }
             Input::Cloud(token, id, reply) => {
                 self.with_term(now, token, &mut out, |term, certain, out| {
                     term.cloud(now, wall, certain, id, &reply, out)
--- /dev/null
+++ b/src/operator/drain.rs
@@ -0,0 +1,230 @@
+//! `caperstile drain`: asks for drains, shows them, lets them rest, go on or end.
+
+use super::report;
+use super::request::{DrainError, Requests, Shown};
+use crate::runtime::StateClient;
+use crate::settings::Settings;
+use crate::units::{self, MachineId};
+use caperstile_disruption::records::{Filter, Mode, Phase, Request, Selector, Wanted, valid_name};
+use clap::{Args, Subcommand};
+use serde_json::json;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// The arguments or settings cannot be used.
+const EXIT_USAGE: u8 = 2;
+/// The request was not taken.
+const EXIT_REFUSED: u8 = 3;
+/// The state service was not reached; nothing was changed.
+const EXIT_NOT_REACHED: u8 = 4;
+/// Whether the request was or will be carried out is not known.
+const EXIT_IN_DOUBT: u8 = 5;
+/// Tries at a change of a request that other operators change too.
+const TRIES: u32 = 5;
+
+/// Arguments of `caperstile drain`.
+#[derive(Debug, Args)]
+pub(crate) struct Arguments {
+    /// The platform's settings (TOML) of any node: they name the state service.
+    #[arg(long, value_name = "FILE", global = true)]
+    config: Option<PathBuf>,
+    /// Write JSON instead of lines.
+    #[arg(long, global = true)]
+    json: bool,
+    /// How long to wait for the leader's answer, in seconds.
+    #[arg(long, value_name = "SECONDS", default_value_t = 15, global = true)]
+    wait: u64,
+    #[command(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Empty machines, as the budgets allow, and return them.
+    Start(Start),
+    /// Show one drain, or all.
+    Status {
+        /// Name of the drain.
+        name: Option<String>,
+    },
+    /// Evict nothing more for now.
+    Pause {
+        /// Name of the drain.
+        name: String,
+    },
+    /// Go on.
+    Resume {
+        /// Name of the drain.
+        name: String,
+    },
+    /// End it: machines that are not returned yet take work again.
+    Cancel {
+        /// Name of the drain.
+        name: String,
+    },
+}
+
+#[derive(Debug, Args)]
+#[group(id = "selection", required = true, multiple = true)]
+struct Start {
+    /// Name of the drain: a to z, 0 to 9 and -.
+    #[arg(group = "naming")]
+    name: String,
+    /// These machines.
+    #[arg(long = "machine", value_name = "ID", group = "selection",
+        conflicts_with_all = ["zone", "kind", "older_than", "count", "all"])]
+    machines: Vec<MachineId>,
+    /// Machines in this zone.
+    #[arg(long, group = "selection")]
+    zone: Option<String>,
+    /// Machines of this type.
+    #[arg(long = "type", value_name = "TYPE", group = "selection")]
+    kind: Option<String>,
+    /// Machines that were rented, and their system images made, at least so long ago, such as 7d or 12h.
+    #[arg(long, value_name = "AGE", group = "selection", value_parser = humantime::parse_duration)]
+    older_than: Option<Duration>,
+    /// So many at the most, the oldest first.
+    #[arg(long, group = "selection", value_parser = clap::value_parser!(u32).range(1..))]
+    count: Option<u32>,
+    /// All machines.
+    #[arg(long, group = "selection")]
+    all: bool,
+    /// Rent a like machine for each before it is emptied.
+    #[arg(long)]
+    replace: bool,
+}
+
+impl Start {
+    fn request(&self) -> Request {
+        let selector = if self.machines.is_empty() {
+            Selector::Matching(Filter {
+                zone: self.zone.clone(),
+                kind: self.kind.clone(),
+                older_than: self.older_than.map(|age| units::Duration(age.as_millis() as u64)),
+                count: self.count,
+            })
+        } else {
+            let mut machines = self.machines.clone();
+            machines.sort();
+            machines.dedup();
+            Selector::Machines(machines)
+        };
+        let mode = if self.replace { Mode::Replace } else { Mode::Remove };
+        Request { selector, mode, wanted: Wanted::Run }
+    }
+}
+
+/// Runs a command.
+pub(crate) fn main(arguments: &Arguments) -> ExitCode {
+    let Some(file) = &arguments.config else {
+        eprintln!("caperstile: --config FILE is missing: it names the state service");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = match Settings::load(file, None) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("caperstile: {e}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let client = match StateClient::new(settings.external.state) {
+        Ok(client) => client,
+        Err(e) => {
+            eprintln!("caperstile: {e}");
+            return ExitCode::from(EXIT_NOT_REACHED);
+        }
+    };
+    match run(arguments, &Requests::new(client)) {
+        Ok(shown) => {
+            print(arguments.json, &shown);
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(arguments.json, &error),
+    }
+}
+
+fn run(arguments: &Arguments, requests: &Requests) -> Result<Vec<Shown>, DrainError> {
+    let patience = Duration::from_secs(arguments.wait);
+    match &arguments.action {
+        Action::Start(start) => start_drain(requests, &start.name, &start.request(), patience).map(|shown| vec![shown]),
+        Action::Status { name: Some(name) } => requests.show(name).map(|shown| vec![shown]),
+        Action::Status { name: None } => requests.show_all(),
+        Action::Pause { name } => change(requests, name, Wanted::Pause, patience).map(|shown| vec![shown]),
+        Action::Resume { name } => change(requests, name, Wanted::Run, patience).map(|shown| vec![shown]),
+        Action::Cancel { name } => change(requests, name, Wanted::Cancel, patience).map(|shown| vec![shown]),
+    }
+}
+
+fn start_drain(requests: &Requests, name: &str, request: &Request, patience: Duration) -> Result<Shown, DrainError> {
+    if !valid_name(name) {
+        let form = "up to 40 of a to z, 0 to 9 and -";
+        return Err(DrainError::Refused(format!("`{name}` is no name for a drain: {form}")));
+    }
+    // Asked for twice, by one operator or by two, it is the same drain.
+    let revision = match requests.write(name, request, 0)? {
+        Some(revision) => revision,
+        None => match requests.request(name)? {
+            Some((found, revision)) if (&found.selector, found.mode) == (&request.selector, request.mode) => revision,
+            _ => return Err(DrainError::Refused(format!("there is another drain {name}; choose another name"))),
+        },
+    };
+    answered(requests, name, revision, patience)
+}
+
+/// Waits for the leader's answer to what was asked.
+fn answered(requests: &Requests, name: &str, revision: u64, patience: Duration) -> Result<Shown, DrainError> {
+    let status = requests.await_status(name, revision, patience)?;
+    if status.phase == Phase::Refused {
+        return Err(DrainError::Refused(status.refusal.unwrap_or_default()));
+    }
+    let request = requests.request(name)?.map(|(request, _)| request);
+    Ok(Shown { name: name.to_string(), request, status: Some(status) })
+}
+
+fn change(requests: &Requests, name: &str, wanted: Wanted, patience: Duration) -> Result<Shown, DrainError> {
+    for _ in 0..TRIES {
+        let Some((request, revision)) = requests.request(name)? else {
+            return Err(DrainError::Refused(format!("there is no drain {name}")));
+        };
+        let phase = requests.show(name)?.status.map(|status| status.phase);
+        match (phase, request.wanted) {
+            (Some(Phase::Done), _) => return Err(DrainError::Refused(format!("drain {name} is done"))),
+            (Some(Phase::Refused), _) => return Err(DrainError::Refused(format!("drain {name} was refused"))),
+            (_, before) if before == wanted => return answered(requests, name, revision, patience),
+            (_, Wanted::Cancel) => return Err(DrainError::Refused(format!("drain {name} was called off"))),
+            _ => {}
+        }
+        if let Some(written) = requests.write(name, &Request { wanted, ..request }, revision)? {
+            return answered(requests, name, written, patience);
+        }
+    }
+    Err(DrainError::Refused(format!("others are changing drain {name}; nothing was changed, try again")))
+}
+
+fn print(json: bool, shown: &[Shown]) {
+    if json {
+        println!("{}", json!({"drains": shown.iter().map(report::json).collect::<Vec<_>>()}));
+        return;
+    }
+    if shown.is_empty() {
+        println!("no drains");
+    }
+    for line in shown.iter().flat_map(report::lines) {
+        println!("{line}");
+    }
+}
+
+fn fail(json: bool, error: &DrainError) -> ExitCode {
+    let (code, kind) = match error {
+        DrainError::Refused(_) => (EXIT_REFUSED, "refused"),
+        DrainError::NotReached(_) => (EXIT_NOT_REACHED, "not_reached"),
+        DrainError::InDoubt(_) => (EXIT_IN_DOUBT, "in_doubt"),
+    };
+    if json {
+        println!("{}", json!({"error": kind, "reason": error.to_string()}));
+    } else {
+        eprintln!("caperstile: {error}");
+    }
+    ExitCode::from(code)
+}
--- a/src/provisioning.rs
+++ b/src/provisioning.rs
@@ -2,6 +2,7 @@
 
 use crate::arrivals::ClassArrivals;
 use crate::controller::Effect;
+use crate::drains::RoomPlanner;
 use crate::failure_detection::LostZone;
 use crate::intake::{self, Job};
 use crate::inventory::{self, Demand, Place};
@@ -10,7 +11,8 @@
 use crate::settings::Objective;
 use crate::term::Term;
 use crate::units::{Duration, JobId, MachineId, Resources, Time, Wall};
-use crate::workers::{Hold, Machine};
+use crate::workers::Hold;
+use caperstile_disruption::Coordinator;
 use log::{debug, info};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -195,7 +197,8 @@
     /// Without room, even that of lower tasks, services would wait for the boot.
     fn service_headroom(&self, now: Time, boot: Duration, rooms: &mut [FreeRoom]) -> Option<Demand> {
         let (job, wanted) = self.expected_services(boot.as_secs())?;
-        let wanted = wanted + self.stranded(now) + self.held_back(now);
+        let evicted = self.drains.as_ref().map_or(0, |drains| u64::from(drains.without_room()));
+        let wanted = wanted + self.stranded(now) + self.held_back(now) + evicted;
         let profile = self.parts().profile_of(job);
         let need = job.record.need;
         let mut missing = wanted;
@@ -446,10 +449,11 @@
 
     /// Empties an ordinary machine whose services fit on others that hold their images: a replica is
     /// moved within a fraction of a second, and an ordinary machine is dear.
-    pub(crate) fn consolidate(&mut self, now: Time) {
+    pub(crate) fn consolidate(&mut self, now: Time, wall: Wall) {
         // A start counts only if the task is not stopped within 30 s.
         const SETTLED: Duration = Duration(40_000);
-        let draining = self.machines.values().any(|m| m.draining == Some(CONSOLIDATED));
+        let draining = self.machines.values().any(|m| m.draining == Some(CONSOLIDATED))
+            || self.drains.as_ref().is_some_and(Coordinator::consolidates);
         if !self.open() || draining || now.since(self.since) < SETTLED || self.inventory.renting() {
             return;
         }
@@ -473,6 +477,12 @@
             }
         }
         let Some((_, id)) = best else { return };
+        if self.drains.as_ref().is_some_and(Coordinator::enabled) {
+            if self.consolidate_within_budgets(now, wall, id) {
+                info!("consolidating machine={id} within the budgets");
+            }
+            return;
+        }
         let Some(m) = self.machines.get_mut(&id) else { return };
         info!("consolidating machine={id} services={}", m.holds.values().filter(|h| h.occupies()).count());
         m.draining = Some(CONSOLIDATED);
@@ -486,43 +496,12 @@
     /// Whether services of a machine fit into free room of others that hold their images, with room
     /// left for those that are likely to come.
     fn fits_elsewhere(&self, from: MachineId, services: &[&Hold], boot_s: f64) -> bool {
-        let parts = self.parts();
-        let overdue = self.settings.deployment.workers.overdue();
-        let mut rooms: Vec<(&Machine, Resources)> = self
-            .machines
-            .values()
-            // One that is out of reach, as all are in a zone that is cut off, is no place to move to.
-            .filter(|m| m.id() != from && m.usable() && !m.record.spot && m.in_reach(self.scheduled, overdue))
-            .map(|m| (m, m.free()))
-            .collect();
-        // Full machines first, so that larger room stays together.
-        rooms.sort_by_key(|(_, room)| room.cpus);
-        let mut moved: HashMap<(JobId, usize), u32> = HashMap::new();
-        for hold in services {
-            let Some(job) = self.jobs.get(hold.task.job) else { return false };
-            let zones = parts.by_zone(job);
-            let mut found = false;
-            for (m, room) in &mut rooms {
-                let Some(zone) = self.names.zone(&m.record.zone) else { continue };
-                let there =
-                    zones.get(&zone).copied().unwrap_or(0) + moved.get(&(job.record.id, zone)).copied().unwrap_or(0);
-                // Counted as if the replica stayed where it is: on the safe side.
-                let zone_free = there < job.record.zone_cap() && !job.record.together;
-                if hold.need.fits(room) && m.images.contains(&hold.image) && parts.allowed(job, m.id()) && zone_free {
-                    room.sub(&hold.need);
-                    *moved.entry((job.record.id, zone)).or_insert(0) += 1;
-                    found = true;
-                    break;
-                }
-            }
-            if !found {
-                return false;
-            }
+        let mut rooms = RoomPlanner::new(self, &BTreeSet::from([from]), true);
+        if !rooms.take_all(services.iter().copied()) {
+            return false;
         }
         let Some((job, wanted)) = self.expected_services(boot_s) else { return true };
-        let left: u64 =
-            rooms.iter().filter(|(m, _)| parts.allowed(job, m.id())).map(|(_, r)| job.record.need.times_in(r)).sum();
-        left >= wanted
+        rooms.count(job) >= wanted
     }
 
     /// Gives back what has been idle: a machine costs a minimum that is better used than wasted.
@@ -544,6 +523,7 @@
                 idle.push(*id);
             }
         }
+        idle.retain(|id| !self.is_replacement(*id));
         for id in idle {
             if let Some(m) = self.machines.get_mut(&id) {
                 m.draining = Some("idle");
--- a/src/runtime/clients.rs
+++ b/src/runtime/clients.rs
@@ -20,6 +20,8 @@
 
 /// Largest answer that is read.
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
+/// How long an operator's command waits for an answer of the state service.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(3);
 const CLOUD_TIMEOUT: Duration = Duration::from_millis(4900);
 
 /// Calls to the state service that may wait for its thread.
@@ -102,32 +104,54 @@
 fn send(
     http: &Http,
     to: &str,
-    (method, path, body): Request,
+    what: Request,
     patience: Duration,
     tell: mpsc::Sender<Message>,
     wrap: impl FnOnce(Reply) -> Input + Send + 'static,
 ) {
+    let (http, to) = (http.clone(), to.to_string());
+    tokio::spawn(async move {
+        let reply = exchange(&http, &to, what, patience).await;
+        let _ = tell.send(Message::Input(wrap(reply))).await;
+    });
+}
+
+/// One request and its answer, or none within the time.
+async fn exchange(http: &Http, to: &str, (method, path, body): Request, patience: Duration) -> Reply {
     let request = hyper::Request::builder()
         .method(method)
         .uri(format!("http://{to}{path}"))
         .header("content-type", "application/json")
         .body(Full::new(Bytes::from(body.unwrap_or_default())));
-    let http = http.clone();
-    tokio::spawn(async move {
-        let reply = match request {
-            Ok(request) => {
-                let exchange = async {
-                    let response = http.request(request).await.ok()?;
-                    let status = response.status().as_u16();
-                    let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await.ok()?;
-                    Some(Reply { status, body: body.to_bytes() })
-                };
-                tokio::time::timeout(patience, exchange).await.ok().flatten().unwrap_or_else(Reply::none)
-            }
-            Err(_) => Reply::none(),
-        };
-        let _ = tell.send(Message::Input(wrap(reply))).await;
-    });
+    let Ok(request) = request else { return Reply::none() };
+    let exchange = async {
+        let response = http.request(request).await.ok()?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await.ok()?;
+        Some(Reply { status, body: body.to_bytes() })
+    };
+    tokio::time::timeout(patience, exchange).await.ok().flatten().unwrap_or_else(Reply::none)
+}
+
+/// A client of the state service for operators' commands, which ask one thing after the other.
+pub(crate) struct StateClient {
+    runtime: tokio::runtime::Runtime,
+    http: Http,
+    address: String,
+}
+
+impl StateClient {
+    /// A client of the state service at this address.
+    pub(crate) fn new(address: SocketAddrV4) -> std::io::Result<StateClient> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        Ok(StateClient { runtime, http: client(Duration::from_secs(30), 1), address: address.to_string() })
+    }
+
+    /// Asks and waits for the answer.
+    pub(crate) fn ask(&self, call: StateCall) -> Reply {
+        let asked = exchange(&self.http, &self.address, state_request(call), OPERATOR_TIMEOUT);
+        self.runtime.block_on(asked)
+    }
 }
 
 /// Talks to the state service on a thread of its own, so that the leader's lease and users' commits do not queue
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -4,6 +4,9 @@
 mod http;
 mod links;
 mod load;
+mod reload;
+
+pub(crate) use clients::StateClient;
 
 use crate::controller::{Controller, Effect, Input, Origin};
 use crate::peers::{Answer, Frame};
@@ -12,6 +15,7 @@
 use log::{debug, info};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use std::collections::HashMap;
+use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 
@@ -38,12 +42,12 @@
 }
 
 /// Runs a node until the process is killed.
-pub fn run(settings: Settings) -> std::io::Result<()> {
+pub fn run(settings: Settings, operators: Option<PathBuf>) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().event_interval(CORE_EVERY).build()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, operators))
 }
 
-async fn serve(settings: Settings) -> std::io::Result<()> {
+async fn serve(settings: Settings, operators: Option<PathBuf>) -> std::io::Result<()> {
     let (tell, mut inbox) = mpsc::channel::<Message>(QUEUE);
     let api = tokio::net::TcpListener::bind(settings.api_addr).await?;
     let peer = tokio::net::TcpListener::bind(settings.peer_bind).await?;
@@ -56,6 +60,9 @@
     }
     let (urgent, mut first) = mpsc::channel::<Message>(QUEUE);
     let clients = clients::Clients::new(&settings, tell.clone(), urgent)?;
+    if let Some(file) = operators {
+        reload::follow(file, settings.clone(), tell.clone());
+    }
     let start = Instant::now();
     let node = settings.node.clone();
     let mut controller = Controller::new(settings, SmallRng::from_os_rng().random());
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -245,7 +245,8 @@
             if certain {
                 self.rent(now, wall, out);
                 self.return_idle(now);
-                self.consolidate(now);
+                self.consolidate(now, wall);
+                self.tend_drains(now, wall, out);
             }
         }
     }
@@ -347,6 +348,7 @@
                 }
             }
             let free = m.free();
+            let leaves = self.drains.as_ref().is_some_and(|drains| drains.is_member(id));
             return Some(Server {
                 id,
                 zone: index_of(&mut self.names.zones, &m.record.zone),
@@ -354,7 +356,8 @@
                 spot: m.record.spot,
                 ready: now,
                 slack: if m.usable() { Duration(0) } else { Duration(500) },
-                bias: bias(flavor, m.record.spot, &free),
+                // What is to be emptied soon is filled last.
+                bias: if leaves { (u64::MAX, u64::MAX) } else { bias(flavor, m.record.spot, &free) },
                 free,
                 soft,
                 releases,
--- a/src/scheduling/gangs.rs
+++ b/src/scheduling/gangs.rs
@@ -218,7 +218,7 @@
     }
 
     /// Stops all tasks of a gang with the same time for saving; what is told to stop already is left to do so.
-    pub(super) fn stop_gang(&mut self, id: JobId, grace: Duration) {
+    pub(crate) fn stop_gang(&mut self, id: JobId, grace: Duration) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(gang) = &mut job.gang else { return };
         gang.stop(grace);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! What a node is told at its start: the platform's TOML and the operators' INI.
 
 use crate::units::Duration;
+use caperstile_disruption::{Policy, PolicyError, Section, policy};
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -26,6 +27,9 @@
     /// The operators' file is malformed.
     #[error("operators' settings: {0}")]
     Ini(String),
+    /// A disruption budget cannot be used.
+    #[error("operators' settings: {0}")]
+    Budget(#[from] PolicyError),
 }
 
 fn field(field: impl Into<String>, problem: impl Into<String>) -> SettingsError {
@@ -54,6 +58,9 @@
     /// Operators' own settings.
     #[serde(skip)]
     pub tuning: Tuning,
+    /// The teams' disruption budgets, from the same file.
+    #[serde(skip)]
+    pub policy: Policy,
 }
 
 /// Another controller.
@@ -345,6 +352,9 @@
         let mut tuning = Tuning::default();
         for (section, properties) in ini.iter() {
             let section = section.unwrap_or("");
+            if policy::is_section(section) {
+                continue;
+            }
             for (name, value) in properties.iter() {
                 let path = format!("{section}.{name}");
                 let within = |what: &str, low: f64, high: f64| -> Result<f64, SettingsError> {
@@ -376,18 +386,45 @@
     }
 }
 
+fn read(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|e| SettingsError::Read(path.display().to_string(), e))
+}
+
 impl Settings {
     /// Reads and checks the platform's file and, if named, the operators' INI.
     pub fn load(file: &Path, operators: Option<&Path>) -> Result<Settings, SettingsError> {
-        let read =
-            |path: &Path| std::fs::read_to_string(path).map_err(|e| SettingsError::Read(path.display().to_string(), e));
         let mut settings = Settings::parse(&read(file)?)?;
         if let Some(path) = operators {
-            settings.tuning = Tuning::parse(&read(path)?)?;
+            let text = read(path)?;
+            settings.tuning = Tuning::parse(&text)?;
+            settings.policy = settings.parse_policy(&text)?;
         }
         Ok(settings)
     }
 
+    /// Reads and checks the disruption budgets of the operators' INI again.
+    pub fn load_policy(&self, operators: &Path) -> Result<Policy, SettingsError> {
+        let text = read(operators)?;
+        Tuning::parse(&text)?;
+        self.parse_policy(&text)
+    }
+
+    /// Reads the disruption budgets in the text of the operators' INI.
+    pub fn parse_policy(&self, text: &str) -> Result<Policy, SettingsError> {
+        let ini = ini::Ini::load_from_str(text).map_err(|e| SettingsError::Ini(e.to_string()))?;
+        let entries = |properties: &ini::Properties| {
+            properties.iter().map(|(key, value)| (key.to_string(), value.to_string())).collect()
+        };
+        let sections: Vec<Section> = ini
+            .iter()
+            .map(|(name, properties)| Section { name: name.unwrap_or("").into(), entries: entries(properties) })
+            .filter(|section| policy::is_section(&section.name))
+            .collect();
+        let teams = self.deployment.teams.iter().map(|team| team.name.clone()).collect();
+        let clock_error = Duration::secs(self.deployment.clock_error_ms / 1000.0);
+        Ok(policy::parse(&sections, &teams, clock_error)?)
+    }
+
     /// Reads and checks the platform's TOML.
     pub fn parse(text: &str) -> Result<Settings, SettingsError> {
         let settings: Settings = toml::from_str(text).map_err(|e| SettingsError::Toml(e.to_string()))?;
--- a/src/term.rs
+++ b/src/term.rs
@@ -2,6 +2,7 @@
 
 use crate::arrivals::Arrivals;
 use crate::controller::{Effect, Origin, Slot, accepted, unavailable};
+use crate::drains;
 use crate::failure_detection::LostZone;
 use crate::intake::{self, Applied, Final, JobStore, Refusal};
 use crate::inventory::{self, Inventory};
@@ -15,6 +16,7 @@
 use crate::upgrade::Format;
 use crate::wire::{Cause, Report, ReportAnswer};
 use crate::workers::{self, Enrolment, Machine};
+use caperstile_disruption::Coordinator;
 use log::{debug, info, warn};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -129,6 +131,7 @@
     /// So long inputs wait: planning does less then, so that reports and users come first.
     pub(crate) behind: Duration,
     pub(crate) over: Option<Over>,
+    pub(crate) drains: Option<Coordinator>,
 }
 
 impl Term {
@@ -174,6 +177,7 @@
             reaches: false,
             behind: Duration(0),
             over: None,
+            drains: drains::coordinator(settings, now),
             settings: settings.clone(),
         }
     }
@@ -192,6 +196,10 @@
     pub fn token(&self) -> Token {
         self.token
     }
+    /// What may be written.
+    pub(crate) fn format(&self) -> Format {
+        self.format
+    }
     /// Whether everything durable was read back.
     pub fn loaded(&self) -> bool {
         self.records.loaded()
@@ -333,6 +341,7 @@
             info!("open token={} after={}s", self.token, now.since(self.since).as_secs());
         }
         self.maybe_schedule(now, wall, certain, out);
+        self.sync_drains(now, certain, out);
         self.flush(now, out);
     }
 
--- /dev/null
+++ b/tests/support/drains.rs
@@ -0,0 +1,118 @@
+//! Operators of the simulation, who ask for drains, and a record of disruption from the workers' side.
+
+use super::*;
+use caperstile::store::condition;
+use caperstile::units::Revision;
+
+/// What was stopped by command and does not run again yet, seen from the workers.
+#[derive(Debug, Default)]
+pub struct Disruption {
+    /// Most that may be out at once, by class; no entry: not checked.
+    pub limits: BTreeMap<String, usize>,
+    /// Tasks that were stopped by command, with their class.
+    out: BTreeMap<String, String>,
+    /// Most that were out at once, by class.
+    pub highest: BTreeMap<String, usize>,
+    /// How many were stopped in all, by class.
+    pub evictions: BTreeMap<String, usize>,
+    /// When something was stopped last, by class, and the least time between two.
+    last: BTreeMap<String, u64>,
+    pub least_gap: BTreeMap<String, u64>,
+}
+
+impl Sim {
+    /// An operator writes a request on condition that it has this revision; the answer's status.
+    pub fn write_request(&mut self, name: &str, request: &Value, revision: u64) -> u16 {
+        let key = format!("drain/request/{name}");
+        let put = Change::Put { key: key.clone(), value: request.clone(), lease: None };
+        let txn = Txn { conditions: vec![condition(&key, Revision(revision))], changes: vec![put] };
+        self.state.handle(self.now, usize::MAX, &StateCall::Txn(txn)).0
+    }
+
+    /// An operator asks for a drain of all machines that match.
+    pub fn drain(&mut self, name: &str, filter: Value, mode: &str) {
+        let request = json!({"selector": {"matching": filter}, "mode": mode, "wanted": "run"});
+        assert_eq!(self.write_request(name, &request, 0), 200, "drain {name}");
+    }
+
+    /// An operator asks for a drain of these machines.
+    pub fn drain_machines(&mut self, name: &str, machines: &[u64]) {
+        let request = json!({"selector": {"machines": machines}, "mode": "remove", "wanted": "run"});
+        assert_eq!(self.write_request(name, &request, 0), 200, "drain {name}");
+    }
+
+    /// An operator lets a drain rest, go on or end.
+    pub fn change_drain(&mut self, name: &str, wanted: &str) {
+        let (mut request, revision, _) = self.state.keys[&format!("drain/request/{name}")].clone();
+        request["wanted"] = json!(wanted);
+        assert_eq!(self.write_request(name, &request, revision), 200, "{wanted} {name}");
+    }
+
+    /// What the leader says of a drain.
+    pub fn drain_status(&self, name: &str) -> Option<Value> {
+        self.state.keys.get(&format!("drain/status/{name}")).map(|(value, ..)| value.clone())
+    }
+
+    /// How far a drain is.
+    pub fn drain_phase(&self, name: &str) -> String {
+        let phase = self.drain_status(name).map(|status| status["phase"].as_str().unwrap_or_default().to_string());
+        phase.unwrap_or_default()
+    }
+
+    /// Runs until a drain is in this phase; whether it came in time.
+    pub fn run_until_drain(&mut self, name: &str, phase: &str, limit: u64) -> bool {
+        while self.now < limit && self.drain_phase(name) != phase {
+            self.run_until(self.now + 250);
+        }
+        self.drain_phase(name) == phase
+    }
+
+    /// Machines that the leader empties, as its records say.
+    pub fn emptying(&self) -> Vec<u64> {
+        let keys = self.state.keys.keys().filter_map(|key| key.strip_prefix("drain/machine/"));
+        keys.filter_map(|id| id.parse::<MachineId>().ok()).map(|id| id.0).collect()
+    }
+
+    /// Other budgets come into force at all controllers.
+    pub fn set_operators(&mut self, operators: &'static str) {
+        self.site.operators = operators;
+        for node in 0..self.site.nodes {
+            let policy = settings(&self.site, node).policy;
+            self.input(node, Input::Policy(Box::new(policy)), 1);
+        }
+    }
+
+    /// A replica that runs is about to be stopped by command.
+    pub(super) fn note_eviction(&mut self, machine: u64, task: &str) {
+        let Some(job) = self.jobs.get(job_of(task)) else { return };
+        let noticed = self.workers.get(&machine).is_some_and(|w| w.notice_until.is_some());
+        if job.spec["Shape"] != "standing" || job.cancelling || noticed {
+            return;
+        }
+        let class = job.spec["Lane"].as_str().unwrap_or_default().to_string();
+        let now = self.now;
+        let disruption = &mut self.disruption;
+        *disruption.evictions.entry(class.clone()).or_default() += 1;
+        if let Some(last) = disruption.last.insert(class.clone(), now) {
+            let gap = disruption.least_gap.entry(class.clone()).or_insert(u64::MAX);
+            *gap = (*gap).min(now - last);
+        }
+        disruption.out.insert(task.to_string(), class.clone());
+        let out = disruption.out.values().filter(|other| **other == class).count();
+        let highest = disruption.highest.entry(class.clone()).or_default();
+        *highest = (*highest).max(out);
+        if disruption.limits.get(&class).is_some_and(|limit| out > *limit) {
+            self.broken.push(format!("{now} disruption: {out} of {class} are out, {task} the last"));
+        }
+    }
+
+    /// A task runs again, or nobody wants it any more.
+    pub(super) fn note_return(&mut self, task: &str) {
+        self.disruption.out.remove(task);
+    }
+
+    /// Nobody wants a job's tasks any more.
+    pub(super) fn note_cancelled(&mut self, id: &str) {
+        self.disruption.out.retain(|task, _| job_of(task) != id);
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 mod cloud;
+pub mod drains;
 mod gangs;
 mod nodes;
 pub mod old_node;
@@ -23,7 +24,7 @@
 use caperstile::peers::{Answer, UserCall};
 use caperstile::store::{Reply, StateCall};
 use caperstile::units::{Duration, MachineId, Time, Wall};
-use caperstile::wire::{Change, Commands, Order, Report, ReportAnswer, ReportedTask, TaskState};
+use caperstile::wire::{Change, Commands, Order, Report, ReportAnswer, ReportedTask, TaskState, Txn};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -239,6 +240,8 @@
     pub incomplete: u64,
     /// Tasks of gangs that were ended while they saved.
     pub cut_saves: u64,
+    /// What was stopped by command, and how much of it was out at once.
+    pub disruption: drains::Disruption,
     checked_at: u64,
     pub site: Site,
     pub broken: Vec<String>,
@@ -309,6 +312,7 @@
             failing: BTreeSet::new(),
             incomplete: 0,
             cut_saves: 0,
+            disruption: drains::Disruption::default(),
             checked_at: 0,
             site,
             broken: Vec::new(),
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -26,6 +26,8 @@
     pub fd_limit: u64,
     /// Limits that the settings announce: value in KiB, changes in a transaction, changes a second.
     pub next: Option<(f64, usize, f64)>,
+    /// The operators' file.
+    pub operators: &'static str,
 }
 
 impl Site {
@@ -48,6 +50,7 @@
             write_rps: 20.0,
             fd_limit: 1500,
             next: None,
+            operators: "",
         }
     }
 
@@ -139,6 +142,7 @@
         );
     }
     let mut settings = Settings::parse(&text).expect("the sample is valid");
+    settings.policy = settings.parse_policy(site.operators).expect("the sample is valid");
     settings.tuning.snapshot_every = site.snapshot_every;
     settings
 }
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -61,6 +61,7 @@
         if let Some(job) = self.jobs.get_mut(id) {
             job.cancelling = true;
         }
+        self.note_cancelled(id);
         self.after(0, Event::User(id.to_string(), UserCall::Cancel(id.to_string())));
     }
 
--- a/tests/support/workers.rs
+++ b/tests/support/workers.rs
@@ -218,6 +218,9 @@
                         self.kill_gang_task(machine, &key, *grace_s);
                         continue;
                     }
+                    if self.workers[&machine].tasks.get(&key).is_some_and(|t| t.state == TaskState::Running) {
+                        self.note_eviction(machine, task);
+                    }
                     let w = self.workers.get_mut(&machine).expect("a worker");
                     if let Some(t) = w.tasks.get_mut(&key)
                         && t.state != TaskState::Exited
@@ -323,6 +326,7 @@
         }
         self.broken.extend(broken);
         self.active.entry(id).or_default().push((machine, key.clone()));
+        self.note_return(&task);
         self.starts.entry(task).or_default().push(machine);
         if let Some(w) = self.workers.get_mut(&machine) {
             w.images.insert(image);
