Drains: room for replicas is looked for and rented job by job; random faults with operators

Now a replica that leaves its zone no longer counts there, and what has no place is a demand of its own, netted against machines on their way.

--- a/crates/disruption/src/coordinator.rs
+++ b/crates/disruption/src/coordinator.rs
@@ -87,8 +87,8 @@
     drains: BTreeMap<String, Drain>,
     emptying: BTreeMap<MachineId, Emptying>,
     last: LastEvictions,
-    /// Replicas for which no room was found in the last round.
-    without_room: u32,
+    /// Replicas for which no room was found in the last round, with their machines.
+    without_room: Vec<(MachineId, TaskAttempt)>,
     told: Time,
 }
 
@@ -103,7 +103,7 @@
             drains: BTreeMap::new(),
             emptying: BTreeMap::new(),
             last: LastEvictions::new(now),
-            without_room: 0,
+            without_room: Vec::new(),
             told: Time(0),
         }
     }
@@ -153,9 +153,9 @@
         self.drains.values().any(|drain| drain.runs() && drain.members.contains_key(&id))
     }
 
-    /// Replicas that wait for room, which is to be rented for them.
-    pub fn without_room(&self) -> u32 {
-        self.without_room
+    /// Replicas that wait for room, which is to be rented for them, with their machines.
+    pub fn without_room(&self) -> &[(MachineId, TaskAttempt)] {
+        &self.without_room
     }
 
     /// Whether a machine was rented to replace one of a running drain, so that it is kept although it is idle.
@@ -182,7 +182,7 @@
         let mut round = Round { now, wall, fleet, demand, waits: BTreeMap::new(), effects: Vec::new() };
         self.follow_requests(&round);
         self.release_cancelled(&mut round);
-        self.without_room = 0;
+        self.without_room.clear();
         if fleet.settled() {
             self.settle(fleet);
             self.step(&mut round);
--- a/crates/disruption/src/coordinator/charges.rs
+++ b/crates/disruption/src/coordinator/charges.rs
@@ -106,14 +106,20 @@
         } else if rooms.take(id, &keys) {
             self.charge(id, &part, allowances);
         } else {
-            self.lacks_room(round, drain.as_ref(), id, keys.len());
+            self.lacks_room(round, drain.as_ref(), id, &keys);
         }
     }
 
     /// Notes that replicas of a machine have no place to go to.
-    pub(super) fn lacks_room(&mut self, round: &mut Round<'_>, drain: Option<&String>, id: MachineId, replicas: usize) {
-        self.without_room += replicas as u32;
-        round.wait(drain, format!("no room elsewhere for {replicas} replicas of {id}"));
+    pub(super) fn lacks_room(
+        &mut self,
+        round: &mut Round<'_>,
+        drain: Option<&String>,
+        id: MachineId,
+        replicas: &[TaskAttempt],
+    ) {
+        self.without_room.extend(replicas.iter().map(|key| (id, *key)));
+        round.wait(drain, format!("no room elsewhere for {} replicas of {id}", replicas.len()));
     }
 
     /// Batch tasks are left to end for as long as their class says, then stopped if it allows that.
--- a/crates/disruption/src/coordinator/steps.rs
+++ b/crates/disruption/src/coordinator/steps.rs
@@ -66,7 +66,7 @@
                     round.wait(Some(&ready.drain), blocked.to_string());
                 }
             } else if !ready.replicas.is_empty() && !rooms.take(ready.machine, &ready.replicas) {
-                self.lacks_room(round, Some(&ready.drain), ready.machine, ready.replicas.len());
+                self.lacks_room(round, Some(&ready.drain), ready.machine, &ready.replicas);
             } else {
                 begun += 1;
                 if let Some(left) = candidate.replaced_at.as_ref().and_then(|place| places.get_mut(place)) {
--- a/src/drains.rs
+++ b/src/drains.rs
@@ -4,18 +4,20 @@
 mod rooms;
 
 use crate::controller::{Effect, Slot};
-use crate::inventory::{Place, RENT_LIMIT};
+use crate::inventory::{Demand, Place, RENT_LIMIT};
 use crate::settings::Settings;
 use crate::store::{Reply, StateCall, condition};
 use crate::term::{Over, Term};
 use crate::units::{MachineId, Revision, Time, Token, Wall};
 use crate::upgrade::Format;
 use crate::wire::{Change, KeyPage, Txn, TxnAnswer};
+use crate::workers::Hold;
 use caperstile_disruption::store::{Answer, Call, Entry, Write};
 use caperstile_disruption::{self as disruption, Coordinator, Policy, Stop};
 use fleet::FleetView;
 use log::info;
 pub(crate) use rooms::RoomPlanner;
+use std::collections::BTreeSet;
 
 /// Why a machine is drained that operators or consolidation empty.
 const DRAINED: &str = "drained";
@@ -146,6 +148,42 @@
         self.hired(now, wall, events, out);
     }
 
+    /// Ordinary machines for replicas that have to leave theirs and have no place to go to, neither on machines that are up nor on
+    /// those on their way.
+    pub(crate) fn demands_of_drains(&self, now: Time) -> Vec<Demand> {
+        let waiting = self.drains.as_ref().map(Coordinator::without_room).unwrap_or_default();
+        if waiting.is_empty() {
+            return Vec::new();
+        }
+        let leaving = waiting.iter().map(|(id, _)| *id).collect();
+        let mut rooms = RoomPlanner::with_booting(self, &leaving);
+        let holds = waiting.iter().filter_map(|(id, key)| self.machines.get(id)?.holds.get(key));
+        let homeless = holds.filter(|hold| !rooms.take_all([*hold].into_iter()));
+        homeless.filter_map(|hold| self.demand_for_replica(now, hold)).collect()
+    }
+
+    fn demand_for_replica(&self, now: Time, hold: &Hold) -> Option<Demand> {
+        let record = &self.jobs.get(hold.task.job)?.record;
+        let job = self.jobs.get(hold.task.job)?;
+        let there = self.parts().by_zone(job);
+        let count = |zone: &str| self.names.zone(zone).and_then(|zone| there.get(&zone).copied()).unwrap_or(0);
+        let zones: BTreeSet<&String> = self.inventory.flavors().into_iter().flatten().flat_map(|f| &f.zones).collect();
+        let open = zones.into_iter().filter(|zone| self.lost_since(zone, now).is_none());
+        let allowed = open.filter(|zone| record.zone.as_ref().is_none_or(|only| only == *zone));
+        let zone = allowed.min_by_key(|zone| count(zone))?;
+        Some(Demand {
+            job: record.id,
+            need: record.need,
+            count: 1,
+            spot: false,
+            ordinary: true,
+            types: record.types.clone(),
+            zone: Some(zone.clone()),
+            zone_cap: u32::MAX,
+            one_zone: false,
+        })
+    }
+
     /// Whether a machine is a replacement that waits for its turn in a drain.
     pub(crate) fn is_replacement(&self, id: MachineId) -> bool {
         let Some(drains) = &self.drains else { return false };
--- a/src/drains/fleet.rs
+++ b/src/drains/fleet.rs
@@ -168,7 +168,7 @@
     }
 
     fn rooms<'a>(&'a self, without: &BTreeSet<MachineId>) -> Box<dyn Rooms + 'a> {
-        Box::new(RoomPlanner::new(self.term, without, false))
+        Box::new(RoomPlanner::for_drains(self.term, without))
     }
 
     fn supply(&self, place: &Place, since: Wall, without: &BTreeSet<MachineId>) -> Supply {
--- a/src/drains/rooms.rs
+++ b/src/drains/rooms.rs
@@ -1,14 +1,19 @@
 //! Free room for replicas that have to leave their machines.
 
-use crate::intake::Job;
+use crate::intake::{self, Job};
 use crate::term::Term;
 use crate::units::{JobId, MachineId, Resources, TaskAttempt};
 use crate::workers::{Hold, Machine};
 use caperstile_disruption::Rooms;
 use std::collections::{BTreeSet, HashMap};
 
+/// Room of one machine that is not given away yet.
 struct Room<'a> {
-    machine: &'a Machine,
+    id: MachineId,
+    /// None for one that is on its way.
+    machine: Option<&'a Machine>,
+    kind: &'a str,
+    zone_name: &'a str,
     zone: usize,
     free: Resources,
 }
@@ -18,35 +23,51 @@
     term: &'a Term,
     rooms: Vec<Room<'a>>,
     /// Replicas of a job that were given room in a zone.
-    moved: HashMap<(JobId, usize), u32>,
-    /// Only machines that hold the replica's image count.
-    needs_image: bool,
+    arrived: HashMap<(JobId, usize), u32>,
+    /// Replicas of a job that leave a zone.
+    left: HashMap<(JobId, usize), u32>,
+    /// Only machines that hold the replica's image count, and replicas count where they are until they were moved.
+    cautious: bool,
 }
 
-/// A replica's place: which room, and what it takes.
+/// A replica's new place: which room, and what it takes.
 struct Given {
     room: usize,
     need: Resources,
-    moved: (JobId, usize),
+    arrived: (JobId, usize),
+    left: Option<(JobId, usize)>,
 }
 
 impl<'a> RoomPlanner<'a> {
     /// Room of ordinary machines that take work and are in reach, without these.
-    pub(crate) fn new(term: &'a Term, without: &BTreeSet<MachineId>, needs_image: bool) -> RoomPlanner<'a> {
-        let overdue = term.settings.deployment.workers.overdue();
-        // One that is out of reach, as all are in a zone that is cut off, is no place to move to.
-        let open = |m: &&Machine| {
-            !without.contains(&m.id()) && m.usable() && !m.record.spot && m.in_reach(term.scheduled, overdue)
+    pub(crate) fn for_drains(term: &'a Term, without: &BTreeSet<MachineId>) -> RoomPlanner<'a> {
+        let mut planner = RoomPlanner {
+            term,
+            rooms: rooms_up(term, without),
+            arrived: HashMap::new(),
+            left: HashMap::new(),
+            cautious: false,
         };
-        let room = |machine: &'a Machine| {
-            let zone = term.names.zone(&machine.record.zone)?;
-            Some(Room { machine, zone, free: machine.free() })
-        };
-        let mut rooms: Vec<Room<'a>> = term.machines.values().filter(open).filter_map(room).collect();
-        // Full machines first, so that larger room stays together; those that are to be emptied themselves last.
-        let leaves = |id: MachineId| term.drains().is_some_and(|drains| drains.is_member(id));
-        rooms.sort_by_cached_key(|room| (leaves(room.machine.id()), room.free.cpus));
-        RoomPlanner { term, rooms, moved: HashMap::new(), needs_image }
+        planner.sort();
+        planner
+    }
+
+    /// The same, for replicas that are moved only to save money.
+    pub(crate) fn for_consolidation(term: &'a Term, from: MachineId) -> RoomPlanner<'a> {
+        RoomPlanner { cautious: true, ..RoomPlanner::for_drains(term, &BTreeSet::from([from])) }
+    }
+
+    /// The same as for drains, with room of machines that are on their way.
+    pub(crate) fn with_booting(term: &'a Term, without: &BTreeSet<MachineId>) -> RoomPlanner<'a> {
+        let mut planner = RoomPlanner::for_drains(term, without);
+        planner.rooms.extend(rooms_on_their_way(term));
+        planner
+    }
+
+    /// Full machines first, so that larger room stays together; those that are to be emptied themselves last.
+    fn sort(&mut self) {
+        let leaves = |id: MachineId| self.term.drains().is_some_and(|drains| drains.is_member(id));
+        self.rooms.sort_by_cached_key(|room| (leaves(room.id), room.free.cpus));
     }
 
     /// Gives room to all of these replicas, or to none.
@@ -64,43 +85,99 @@
 
     fn take_one(&mut self, hold: &Hold) -> Option<Given> {
         let job = self.term.jobs.get(hold.task.job)?;
-        let parts = self.term.parts();
-        let zones = parts.by_zone(job);
         let id = job.record.id;
-        let fits = |room: &Room<'_>| {
-            // Counted as if the replica stayed where it is: on the safe side.
-            let there = zones.get(&room.zone).copied().unwrap_or(0);
-            let there = there + self.moved.get(&(id, room.zone)).copied().unwrap_or(0);
+        let left = self.zone_of(job, hold).filter(|_| !self.cautious).map(|zone| (id, zone));
+        if let Some(left) = left {
+            *self.left.entry(left).or_default() += 1;
+        }
+        let zones = self.term.parts().by_zone(job);
+        let counted = |zone: usize| {
+            let there = zones.get(&zone).copied().unwrap_or(0) + self.arrived.get(&(id, zone)).copied().unwrap_or(0);
+            there.saturating_sub(self.left.get(&(id, zone)).copied().unwrap_or(0))
+        };
+        let room = self.rooms.iter().position(|room| {
             hold.need.fits(&room.free)
-                && (!self.needs_image || room.machine.images.contains(&hold.image))
-                && parts.allowed(job, room.machine.id())
-                && there < job.record.zone_cap()
+                && self.allowed(job, room)
+                && (!self.cautious || room.machine.is_some_and(|machine| machine.images.contains(&hold.image)))
+                && counted(room.zone) < job.record.zone_cap()
                 && !job.record.together
+        });
+        let Some(room) = room else {
+            self.returns(left);
+            return None;
         };
-        let room = self.rooms.iter().position(fits)?;
-        let moved = (id, self.rooms[room].zone);
+        let arrived = (id, self.rooms[room].zone);
         self.rooms[room].free.sub(&hold.need);
-        *self.moved.entry(moved).or_default() += 1;
-        Some(Given { room, need: hold.need, moved })
+        *self.arrived.entry(arrived).or_default() += 1;
+        Some(Given { room, need: hold.need, arrived, left })
+    }
+
+    /// The zone in which a replica is.
+    fn zone_of(&self, job: &Job, hold: &Hold) -> Option<usize> {
+        let machine = self.term.machines.get(&job.placed.get(&hold.task.index)?.machine)?;
+        self.term.names.zone(&machine.record.zone)
+    }
+
+    fn allowed(&self, job: &Job, room: &Room<'_>) -> bool {
+        job.record.allows(room.kind, room.zone_name, false) && !job.failed_on.contains(&room.id)
+    }
+
+    fn returns(&mut self, left: Option<(JobId, usize)>) {
+        if let Some(count) = left.and_then(|left| self.left.get_mut(&left)) {
+            *count -= 1;
+        }
     }
 
     fn give_back(&mut self, given: Vec<Given>) {
-        for Given { room, need, moved } in given {
+        for Given { room, need, arrived, left } in given {
             self.rooms[room].free.add(&need);
-            if let Some(count) = self.moved.get_mut(&moved) {
+            if let Some(count) = self.arrived.get_mut(&arrived) {
                 *count -= 1;
             }
+            self.returns(left);
         }
     }
 
     /// How many more tasks of a job have room.
     pub(crate) fn count(&self, job: &Job) -> u64 {
-        let parts = self.term.parts();
-        let rooms = self.rooms.iter().filter(|room| parts.allowed(job, room.machine.id()));
+        let rooms = self.rooms.iter().filter(|room| self.allowed(job, room));
         rooms.map(|room| job.record.need.times_in(&room.free)).sum()
     }
 }
 
+/// Ordinary machines that take work and are in reach.
+fn rooms_up<'a>(term: &'a Term, without: &BTreeSet<MachineId>) -> Vec<Room<'a>> {
+    let overdue = term.settings.deployment.workers.overdue();
+    // One that is out of reach, as all are in a zone that is cut off, is no place to move to.
+    let open = |m: &&Machine| {
+        !without.contains(&m.id()) && m.usable() && !m.record.spot && m.in_reach(term.scheduled, overdue)
+    };
+    let room = |machine: &'a Machine| {
+        Some(Room {
+            id: machine.id(),
+            machine: Some(machine),
+            kind: &machine.record.kind,
+            zone_name: &machine.record.zone,
+            zone: term.names.zone(&machine.record.zone)?,
+            free: machine.free(),
+        })
+    };
+    term.machines.values().filter(open).filter_map(room).collect()
+}
+
+/// Ordinary machines that were rented and have not reported yet, or cannot be used yet.
+fn rooms_on_their_way(term: &Term) -> Vec<Room<'_>> {
+    let booting = term.inventory.booting().filter(|(_, b)| !b.spot);
+    let booting = booting.map(|(id, b)| (*id, b.kind.as_str(), b.zone.as_str()));
+    let coming = term.machines.values().filter(|m| !m.record.spot && !m.usable() && m.draining.is_none());
+    let coming = coming.map(|m| (m.id(), m.record.kind.as_str(), m.record.zone.as_str()));
+    let room = |(id, kind, zone_name): (MachineId, _, _)| {
+        let free = intake::capacity(term.inventory.flavor(kind)?);
+        Some(Room { id, machine: None, kind, zone_name, zone: term.names.zone(zone_name)?, free })
+    };
+    booting.chain(coming).filter_map(room).collect()
+}
+
 impl Rooms for RoomPlanner<'_> {
     fn take(&mut self, from: MachineId, tasks: &[TaskAttempt]) -> bool {
         let Some(machine) = self.term.machines.get(&from) else { return true };
--- a/src/provisioning.rs
+++ b/src/provisioning.rs
@@ -128,6 +128,7 @@
                 })
             })
             .chain(headroom)
+            .chain(self.demands_of_drains(now))
             .filter(|d| d.count > 0);
         demands.collect()
     }
@@ -197,8 +198,7 @@
     /// Without room, even that of lower tasks, services would wait for the boot.
     fn service_headroom(&self, now: Time, boot: Duration, rooms: &mut [FreeRoom]) -> Option<Demand> {
         let (job, wanted) = self.expected_services(boot.as_secs())?;
-        let evicted = self.drains.as_ref().map_or(0, |drains| u64::from(drains.without_room()));
-        let wanted = wanted + self.stranded(now) + self.held_back(now) + evicted;
+        let wanted = wanted + self.stranded(now) + self.held_back(now);
         let profile = self.parts().profile_of(job);
         let need = job.record.need;
         let mut missing = wanted;
@@ -496,7 +496,7 @@
     /// Whether services of a machine fit into free room of others that hold their images, with room
     /// left for those that are likely to come.
     fn fits_elsewhere(&self, from: MachineId, services: &[&Hold], boot_s: f64) -> bool {
-        let mut rooms = RoomPlanner::new(self, &BTreeSet::from([from]), true);
+        let mut rooms = RoomPlanner::for_consolidation(self, from);
         if !rooms.take_all(services.iter().copied()) {
             return false;
         }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use serde_json::json;
-use support::Sim;
+use support::{Sim, Site};
 
 #[derive(Debug, Clone)]
 enum Fault {
@@ -43,6 +43,27 @@
     CancelNow(u64),
     Submit(u8),
     Cancel(u8),
+    /// An operator asks for a drain of this name: of a zone, some machines, or all.
+    Drain(u8, u8),
+    /// An operator lets one rest, go on or end.
+    ChangeDrain(u8, u8),
+    /// Other budgets come into force.
+    Budgets(bool),
+}
+
+/// One replica of the class may be out at once, whichever of the two is in force.
+const ONE: &str = "[drains]\nenabled = yes\nmax_machines = 50%\n[budget crew/render]\nmax_unavailable = 1\n\
+    batch_wait_s = 20\nevict_batch = always\n";
+const HALF: &str = "[drains]\nenabled = yes\nmax_machines = 3\n[budget crew/render]\nmax_unavailable = 1\n\
+    min_interval_s = 2\nbatch_wait_s = 5\n[budget crew]\nmax_unavailable = 50%\n";
+
+/// What operators do.
+fn operation() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        3 => (0u8..4, any::<u8>()).prop_map(|(name, what)| Fault::Drain(name, what)),
+        2 => (0u8..4, any::<u8>()).prop_map(|(name, what)| Fault::ChangeDrain(name, what)),
+        1 => any::<bool>().prop_map(Fault::Budgets),
+    ]
 }
 
 fn fault() -> impl Strategy<Value = Fault> {
@@ -179,6 +200,23 @@
             }
         }
         Fault::Submit(n) => sim.repeat(&name(*n)),
+        Fault::Drain(n, what) => {
+            let filter = [json!({}), json!({"zone": "a"}), json!({"zone": "b"}), json!({"count": 2})];
+            let mode = if what & 4 == 0 { "replace" } else { "remove" };
+            let request = json!({"selector": {"matching": filter[(what % 4) as usize]}, "mode": mode, "wanted": "run"});
+            // Refused where there is one of this name, or while the state service is down.
+            sim.write_request(&format!("drain-{n}"), &request, 0);
+        }
+        Fault::ChangeDrain(n, what) => {
+            let name = format!("drain-{n}");
+            let wanted = ["run", "pause", "run", "cancel"][(what % 4) as usize];
+            let before = sim.state.keys.get(&format!("drain/request/{name}")).cloned();
+            if let Some((mut request, revision, _)) = before.filter(|(request, ..)| request["wanted"] != "cancel") {
+                request["wanted"] = json!(wanted);
+                sim.write_request(&name, &request, revision);
+            }
+        }
+        Fault::Budgets(first) => sim.set_operators(if *first { ONE } else { HALF }),
         Fault::Cancel(n) => {
             if sim.jobs.contains_key(&name(*n)) {
                 sim.cancel(&name(*n));
@@ -219,4 +257,42 @@
             prop_assert!(over || sim.running(id) == 3, "{id} is {} with {} running", job.told, sim.running(id));
         }
     }
+
+    /// The checker knows nothing of the leader's charges: it counts, on the stand-in workers, replicas that were stopped by command
+    /// and do not run again yet.
+    #[test]
+    fn no_order_of_faults_breaks_a_budget(
+        seed in 0u64..1000,
+        faults in proptest::collection::vec((0u64..6000, prop_oneof![4 => fault(), 1 => operation()]), 15..50),
+    ) {
+        let mut sim = Sim::at(Site { operators: ONE, ..Site::small() }, seed);
+        sim.disruption.limits.insert("render".into(), 1);
+        for id in ["job-000001", "job-000007"] {
+            sim.submit(id, &[("Shape", json!("standing")), ("Rank", json!("prod")), ("RuntimeS", json!(0)),
+                ("Pieces", json!(3)), ("Spread", json!(true)), ("Cores", json!(1.0))]);
+        }
+        sim.run_until(20_000);
+        inject(&mut sim, &Fault::Drain(0, 0));
+        let mut at = 20_000;
+        for (gap, fault) in &faults {
+            at = at.max(sim.now) + gap;
+            sim.run_until(at);
+            inject(&mut sim, fault);
+            prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+        }
+        sim.mend();
+        for n in 0..4 {
+            inject(&mut sim, &Fault::ChangeDrain(n, 0));
+        }
+        sim.run_until(at + 500_000);
+        prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+        for (id, job) in sim.jobs.iter().filter(|(_, j)| j.accepted) {
+            let over = matches!(job.told.as_str(), "done" | "aborted");
+            prop_assert!(over || sim.running(id) == 3, "{id} is {} with {} running", job.told, sim.running(id));
+        }
+        for name in (0..4).map(|n| format!("drain-{n}")).filter(|name| sim.state.keys.contains_key(&format!("drain/request/{name}"))) {
+            let ended = matches!(sim.drain_phase(&name).as_str(), "done" | "cancelled" | "refused");
+            prop_assert!(ended, "{name}: {:?}", sim.drain_status(&name));
+        }
+    }
 }
