--- a/src/operator/drain.rs
+++ b/src/operator/drain.rs
@@ -6,7 +6,7 @@
 use crate::settings::Settings;
 use crate::units::{self, MachineId};
 use caperstile_disruption::records::{Filter, Mode, Phase, Request, Selector, Wanted, valid_name};
-use clap::{Args, Subcommand};
+use clap::{ArgGroup, Args, Subcommand};
 use serde_json::json;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -66,29 +66,29 @@
 }
 
 #[derive(Debug, Args)]
-#[group(id = "selection", required = true, multiple = true)]
+#[command(group(ArgGroup::new("selection").required(true).multiple(true)
+    .args(["machines", "zone", "kind", "older_than", "count", "all"])))]
 struct Start {
     /// Name of the drain: a to z, 0 to 9 and -.
-    #[arg(group = "naming")]
     name: String,
     /// These machines.
-    #[arg(long = "machine", value_name = "ID", group = "selection",
+    #[arg(long = "machine", value_name = "ID",
         conflicts_with_all = ["zone", "kind", "older_than", "count", "all"])]
     machines: Vec<MachineId>,
     /// Machines in this zone.
-    #[arg(long, group = "selection")]
+    #[arg(long)]
     zone: Option<String>,
     /// Machines of this type.
-    #[arg(long = "type", value_name = "TYPE", group = "selection")]
+    #[arg(long = "type", value_name = "TYPE")]
     kind: Option<String>,
     /// Machines that were rented, and their system images made, at least so long ago, such as 7d or 12h.
-    #[arg(long, value_name = "AGE", group = "selection", value_parser = humantime::parse_duration)]
+    #[arg(long, value_name = "AGE", value_parser = humantime::parse_duration)]
     older_than: Option<Duration>,
     /// So many at the most, the oldest first.
-    #[arg(long, group = "selection", value_parser = clap::value_parser!(u32).range(1..))]
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..))]
     count: Option<u32>,
     /// All machines.
-    #[arg(long, group = "selection")]
+    #[arg(long)]
     all: bool,
     /// Rent a like machine for each before it is emptied.
     #[arg(long)]
@@ -196,12 +196,23 @@
             _ => {}
         }
         if let Some(written) = requests.write(name, &Request { wanted, ..request }, revision)? {
-            return answered(requests, name, written, patience);
+            return answered(requests, name, written, patience).and_then(|shown| in_time(shown, wanted));
         }
     }
     Err(DrainError::Refused(format!("others are changing drain {name}; nothing was changed, try again")))
 }
 
+/// A drain may end before a change reaches the leader.
+fn in_time(shown: Shown, wanted: Wanted) -> Result<Shown, DrainError> {
+    let phase = shown.status.as_ref().map(|status| status.phase);
+    match (phase, wanted) {
+        (Some(Phase::Done), Wanted::Pause | Wanted::Cancel) => {
+            Err(DrainError::Refused(format!("drain {} was done before", shown.name)))
+        }
+        _ => Ok(shown),
+    }
+}
+
 fn print(json: bool, shown: &[Shown]) {
     if json {
         println!("{}", json!({"drains": shown.iter().map(report::json).collect::<Vec<_>>()}));
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -19,8 +19,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 
-/// Inputs that may wait for the core; beyond it, requests are refused.
-const QUEUE: usize = 2048;
+/// Calls to the state service that may wait for the core with their answers.
+const URGENT_QUEUE: usize = 512;
 /// The core has its turn after at most so many tasks of connections: it looks first at what is urgent.
 const CORE_EVERY: u32 = 16;
 /// How often time passes for the core.
@@ -48,17 +48,25 @@
 }
 
 async fn serve(settings: Settings, operators: Option<PathBuf>) -> std::io::Result<()> {
-    let (tell, mut inbox) = mpsc::channel::<Message>(QUEUE);
+    let limits = &settings.deployment.resources;
+    let (tell, mut inbox) = mpsc::channel::<Message>(limits.inputs_waiting());
     let api = tokio::net::TcpListener::bind(settings.api_addr).await?;
     let peer = tokio::net::TcpListener::bind(settings.peer_bind).await?;
     info!("node {} listens on {} and for peers on {}", settings.node, settings.api_addr, settings.peer_bind);
+    info!(
+        "limits that follow from the settings: connections={} commands_at_once={} open_jobs={} inputs_waiting={}",
+        limits.connections(),
+        limits.commands_at_once(),
+        limits.open_jobs(),
+        limits.inputs_waiting()
+    );
     http::serve(api, tell.clone(), settings.deployment.resources.connections());
     links::listen(peer, tell.clone());
     let mut links: HashMap<String, mpsc::Sender<Frame>> = HashMap::new();
     for seed in &settings.seeds {
         links.insert(seed.node.clone(), links::connect(seed, tell.clone()));
     }
-    let (urgent, mut first) = mpsc::channel::<Message>(QUEUE);
+    let (urgent, mut first) = mpsc::channel::<Message>(URGENT_QUEUE);
     let clients = clients::Clients::new(&settings, tell.clone(), urgent)?;
     if let Some(file) = operators {
         reload::follow(file, settings.clone(), tell.clone());
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -24,6 +24,8 @@
 
 /// Machines that a round of planning looks at, over all jobs: a few milliseconds.
 const LOOKS: usize = 20_000;
+/// Or, in a fleet of more than 2,000 machines, so many jobs' looks at all of them.
+const JOBS_LOOKED_AT: usize = 10;
 /// A job of which nothing has begun for so long is promoted, so that it begins within four minutes.
 const STARVED_AFTER: Duration = Duration(120_000);
 /// To this rank, for its first task: before all but services, which it must not push aside.
@@ -428,11 +430,12 @@
         // Like tasks that found no machine in this round are not tried one by one, nor larger ones.
         let mut hopeless: Vec<(Resources, bool, bool)> = Vec::new();
         let mut looks = 0;
-        let top = self.plan_some(now, &waiting, LOOKS / 2, &mut looks, &mut hopeless);
+        let most = LOOKS.max(JOBS_LOOKED_AT * self.plans.servers().count());
+        let top = self.plan_some(now, &waiting, most / 2, &mut looks, &mut hopeless);
         let rest = &waiting[top..];
         let from = self.stopped.take().and_then(|id| rest.iter().position(|(job, _)| *job == id)).unwrap_or(0);
         let turned: Vec<(JobId, u32)> = rest[from..].iter().chain(&rest[..from]).copied().collect();
-        let done = self.plan_some(now, &turned, LOOKS, &mut looks, &mut hopeless);
+        let done = self.plan_some(now, &turned, most, &mut looks, &mut hopeless);
         if let Some((id, _)) = turned.get(done) {
             // The rest is for the next round, so that reports and users are not kept waiting.
             self.dirty = true;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -274,6 +274,10 @@
         let left = self.memory_mb - BASE_MB - self.connections() as f64 * CONNECTION_MB;
         (left.max(self.memory_mb / 8.0) / JOB_MB) as usize
     }
+    /// Inputs that may wait for the core; beyond it, requests are refused. Each connection has one under way at the most.
+    pub fn inputs_waiting(&self) -> usize {
+        self.connections().max(FEWEST_INPUTS)
+    }
     /// Connections that are taken from workers and users; the others are for the state service, the
     /// cloud, commands to workers, and peers.
     pub fn connections(&self) -> usize {
@@ -284,6 +288,8 @@
 
 /// With fewer sockets a node cannot serve users, workers, the other nodes and the services outside.
 const FEWEST_FDS: u64 = 32;
+/// Inputs that may wait however few sockets there are: answers of workers and the cloud are among them.
+const FEWEST_INPUTS: usize = 2048;
 /// What a node holds before its first connection, in MB, with a margin.
 const BASE_MB: f64 = 8.0;
 /// What a connection holds at the most.
--- a/src/term.rs
+++ b/src/term.rs
@@ -35,7 +35,8 @@
 const LEARNT_EVERY: u64 = 20;
 /// Direct commands that may be under way however far a leader is behind.
 const FEW_COMMANDS: usize = 8;
-/// Facts that may wait to become durable.
+/// Facts that may wait to become durable before submissions are refused, beside one for each machine: a fleet that comes up at once
+/// is no backlog.
 const BACKLOG_LIMIT: usize = 5000;
 
 /// Why a term is over.
--- a/src/term/users.rs
+++ b/src/term/users.rs
@@ -74,7 +74,7 @@
             return Some(refused(&Refusal::Malformed("Reel", "the job's names are too long to be kept")));
         }
         let limit = self.settings.deployment.resources.open_jobs();
-        if self.jobs.open() >= limit || self.records.backlog() >= BACKLOG_LIMIT {
+        if self.jobs.open() >= limit || self.records.backlog() >= BACKLOG_LIMIT + self.machines.len() {
             // Answered at once: the user is told when to come back.
             return Some(Answer { retry_after: 10, ..unavailable("too many jobs are open") });
         }
--- /dev/null
+++ b/tests/sizes.rs
@@ -0,0 +1,121 @@
+//! Up to 4,000 machines on the stand-ins. These take minutes and print what they measure, so CI leaves them out:
+//!
+//!     cargo test --release --test sizes -- --ignored --nocapture --test-threads 1
+
+mod support;
+
+use serde_json::{Value, json};
+use std::time::Duration;
+use support::{Sim, Site};
+
+const BUDGETS: &str = "[drains]\nenabled = yes\n[budget crew/live]\nmax_unavailable = 5%\n[budget crew/render]\n\
+    max_unavailable = 5%\nbatch_wait_s = 60\nevict_batch = always\n";
+
+fn service(pieces: u64, image: u64) -> Vec<(&'static str, Value)> {
+    vec![
+        ("Lane", json!("live")),
+        ("Shape", json!("standing")),
+        ("Rank", json!("prod")),
+        ("RuntimeS", json!(0)),
+        ("Pieces", json!(pieces)),
+        ("Spread", json!(true)),
+        ("Cores", json!(4.0)),
+        ("Reel", json!(format!("live-{image}"))),
+    ]
+}
+
+fn array(pieces: u64, run_s: f64) -> Vec<(&'static str, Value)> {
+    vec![("Pieces", json!(pieces)), ("Cores", json!(2.0)), ("RuntimeS", json!(run_s)), ("Loaners", json!(true))]
+}
+
+/// Services that fill about three quarters of the ordinary machines, and arrays on the spot machines.
+fn fill(sim: &mut Sim) {
+    let machines = u64::from(sim.site.machines) * sim.site.zones.len() as u64;
+    let services = machines * 6 / 6;
+    for n in 0..services {
+        sim.submit(&format!("job-{n:06}"), &service([2, 2, 4, 16][n as usize % 4], n % 6));
+    }
+    for n in 0..machines / 4 {
+        sim.submit(&format!("job-{:06}", 100_000 + n), &array([30, 70, 70, 400][n as usize % 4], 40.0));
+    }
+}
+
+fn served(sim: &Sim) {
+    assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+    let unserved =
+        |(id, job): &(&String, &support::UserJob)| job.told != "done" && sim.running(id) != job.pieces() as usize;
+    let left: Vec<String> = sim.jobs.iter().filter(unserved).map(|(id, job)| format!("{id} {}", job.told)).collect();
+    assert!(left.is_empty(), "{} of {} are not served: {:?}", left.len(), sim.jobs.len(), &left[..left.len().min(5)]);
+}
+
+#[test]
+#[ignore = "takes minutes"]
+fn four_thousand_machines_lose_their_leader_and_the_state_service() {
+    let mut sim = Sim::at(Site::large(), 41);
+    fill(&mut sim);
+    sim.run_until(200_000);
+    println!("machines up after 200 s: {}", sim.workers.len());
+    assert!(sim.workers.len() >= 4000, "{} machines", sim.workers.len());
+    let leader = sim.leader().expect("somebody leads");
+    sim.bounce(leader, 5000);
+    let lost_at = sim.now;
+    while sim.open() || sim.now < lost_at + 500 {
+        sim.run_until(sim.now + 50);
+    }
+    while !sim.open() {
+        sim.run_until(sim.now + 50);
+        assert!(sim.now < lost_at + 120_000, "older jobs are held back");
+    }
+    println!("from the leader's end until all machines are fenced: {} ms", sim.now - lost_at);
+    sim.run_until(sim.now + 20_000);
+    sim.state.down = true;
+    sim.run_until(sim.now + 120_000);
+    sim.state.down = false;
+    let back_at = sim.now;
+    while !sim.open() {
+        sim.run_until(sim.now + 50);
+        assert!(sim.now < back_at + 120_000, "older jobs are held back");
+    }
+    println!("from the end of an outage of 120 s until a leader is open: {} ms", sim.now - back_at);
+    let end = sim.now + 400_000;
+    sim.mend();
+    sim.run_until(end);
+    served(&sim);
+    println!("longest input of a node: {:?}", sim.spent.1);
+}
+
+/// Processor time of the nodes' state machines over the same 60 s, with and without a drain.
+fn pair(site: Site, seed: u64) -> (Duration, Duration, u64, usize) {
+    let run = |drain: bool| {
+        let mut sim = Sim::at(Site { operators: BUDGETS, ..site.clone() }, seed);
+        fill(&mut sim);
+        sim.run_until(240_000);
+        sim.spent = Default::default();
+        if drain {
+            sim.drain("all", json!({"zone": "a"}), "remove");
+        }
+        sim.run_until(300_000);
+        assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+        let emptied = sim.drain_status("all").map_or(0, |status| status["emptied"].as_u64().unwrap_or(0));
+        (sim.spent.0, emptied, sim.workers.len())
+    };
+    let (with, emptied, _) = run(true);
+    let (without, _, machines) = run(false);
+    (with, without, emptied, machines)
+}
+
+#[test]
+#[ignore = "takes minutes"]
+fn what_a_drain_costs_a_leader() {
+    for site in [Site::grown(), Site::large()] {
+        for seed in [1, 2, 3] {
+            let (with, without, emptied, machines) = pair(site.clone(), seed);
+            println!(
+                "{machines} machines, seed {seed}: {:.2} s with, {:.2} s without a drain in 60 s, ratio {:.2}; {emptied} emptied",
+                with.as_secs_f64(),
+                without.as_secs_f64(),
+                with.as_secs_f64() / without.as_secs_f64()
+            );
+        }
+    }
+}
--- a/tests/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Machines in one page of the cloud's list.
+const LIST_PAGE: usize = 500;
+
 impl Sim {
     pub(super) fn cloud(&mut self, call: &CloudCall) -> (u16, Value) {
         if self.cloud_down {
@@ -69,16 +72,18 @@
                 }
                 (200, json!({}))
             }
-            CloudCall::List(_) => {
-                let hosts: Vec<Value> = self
-                    .workers
-                    .iter()
+            CloudCall::List(after) => {
+                let after = after.as_ref().and_then(|name| name.parse::<MachineId>().ok()).map_or(0, |id| id.0);
+                let mut listed = self.workers.range(after + 1..);
+                let hosts: Vec<Value> = listed
+                    .by_ref()
+                    .take(LIST_PAGE)
                     .map(|(id, w)| {
                         json!({"Ref": MachineId(*id).to_string(), "Endpoint": "10.0.0.1:1", "Build": "small", "Yard": w.zone,
                             "Loaners": w.spot, "Status": if w.up { "running" } else { "starting" }, "AgeS": 1.0})
                     })
                     .collect();
-                (200, json!({"Hosts": hosts, "More": false}))
+                (200, json!({"Hosts": hosts, "More": listed.next().is_some()}))
             }
         }
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,6 +10,7 @@
 mod nodes;
 pub mod old_node;
 mod site;
+pub mod stage;
 mod state;
 mod users;
 mod workers;
@@ -242,6 +243,8 @@
     pub cut_saves: u64,
     /// What was stopped by command, and how much of it was out at once.
     pub disruption: drains::Disruption,
+    /// Real time that nodes' state machines took, all together, and the longest that one input took.
+    pub spent: (std::time::Duration, std::time::Duration),
     checked_at: u64,
     pub site: Site,
     pub broken: Vec<String>,
@@ -313,6 +316,7 @@
             incomplete: 0,
             cut_saves: 0,
             disruption: drains::Disruption::default(),
+            spent: Default::default(),
             checked_at: 0,
             site,
             broken: Vec::new(),
--- a/tests/support/nodes.rs
+++ b/tests/support/nodes.rs
@@ -181,7 +181,10 @@
         let now = self.clock(node);
         let wall = Wall(1_700_000_000_000 + self.now);
         let Some(controller) = &mut self.nodes[node] else { return };
+        let begin = std::time::Instant::now();
         let effects = controller.handle(now, wall, input);
+        let took = begin.elapsed();
+        self.spent = (self.spent.0 + took, self.spent.1.max(took));
         let epoch = self.epochs[node];
         let token = controller.term().map_or(0, |r| r.token().0);
         if token > self.led {
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Some 4,000 of them.
+    pub fn large() -> Site {
+        Site { machines: 520, fd_limit: 4700, value_kb: 16.0, ..Site::fleet() }
+    }
+
     /// Many small machines, seven controllers.
     pub fn many_small() -> Site {
         Site {
--- a/tests/support/state.rs
+++ b/tests/support/state.rs
@@ -46,7 +46,8 @@
     } else if path == "/leases" {
         StateCall::Grant(Duration(serde_json::from_slice::<LeaseRequest>(body).expect("a lease request").ttl_ms))
     } else if let Some(rest) = path.strip_prefix("/leases/") {
-        StateCall::Renew(LeaseId(rest.strip_suffix("/extend").and_then(|id| id.parse().ok()).expect("a lease")))
+        let lease = |id: &str| LeaseId(id.parse().expect("a lease"));
+        rest.strip_suffix("/extend").map_or_else(|| StateCall::Revoke(lease(rest)), |id| StateCall::Renew(lease(id)))
     } else if let Some(key) = path.strip_prefix("/keys/") {
         StateCall::Get(key.to_string())
     } else {
