Drains: a machine that a new leader does not know yet is not taken for empty

Cause: a new leader cordons what its predecessor was emptying. Now only machines that have answered are cordoned, and an emptied machine is returned only then; a spot notice on a machine that has not answered no longer returns it at once either.

Ruled out: counting such machines as silent, which they are not.

--- a/src/drains.rs
+++ b/src/drains.rs
@@ -11,7 +11,7 @@
 use crate::units::{MachineId, Revision, Time, Token, Wall};
 use crate::upgrade::Format;
 use crate::wire::{Change, KeyPage, Txn, TxnAnswer};
-use crate::workers::Hold;
+use crate::workers::{Hold, Machine};
 use caperstile_disruption::store::{Answer, Call, Entry, Write};
 use caperstile_disruption::{self as disruption, Coordinator, Policy, Stop};
 use fleet::FleetView;
@@ -114,7 +114,9 @@
     }
 
     fn cordon(&mut self, id: MachineId) {
-        let Some(machine) = self.machines.get_mut(&id).filter(|machine| machine.draining.is_none()) else { return };
+        // What is on a machine that has not answered this leader is not known: it would be taken for empty and returned.
+        let known = |machine: &&mut Machine| machine.fenced && machine.draining.is_none();
+        let Some(machine) = self.machines.get_mut(&id).filter(known) else { return };
         info!("draining machine={id}");
         machine.draining = Some(DRAINED);
         self.plans.remove(id);
--- a/src/drains/fleet.rs
+++ b/src/drains/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet as drains see it.
 
-use super::{DRAINED, RoomPlanner};
+use super::RoomPlanner;
 use crate::gang;
 use crate::intake::{Job, Placed};
 use crate::term::Term;
@@ -127,9 +127,8 @@
             },
             rented_at: machine.record.at,
             reachable: self.reachable(machine),
-            leaving: self.term.inventory.is_returning(id)
-                || machine.notice.is_some()
-                || machine.draining.is_some_and(|why| why != DRAINED),
+            // One that is out of order keeps the services that run on it, so it does not go by itself.
+            leaving: self.term.inventory.is_returning(id) || machine.notice.is_some(),
             tasks: on_machine.filter_map(|(key, hold)| self.task(machine, key, hold)).collect(),
         })
     }
--- a/src/failure_detection.rs
+++ b/src/failure_detection.rs
@@ -134,7 +134,8 @@
                     give_back.push((*id, if silent { "silent" } else { "takes nothing in" }));
                 }
             }
-            let empty = !m.holds.values().any(workers::Hold::occupies);
+            // What is on a machine that has not answered this leader is not known.
+            let empty = m.fenced && !m.holds.values().any(workers::Hold::occupies);
             if let Some(why) = m.draining {
                 if empty {
                     give_back.push((*id, why));
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -524,3 +524,75 @@
     assert!(evictions(TWO) > 0, "nothing is consolidated");
     assert_eq!(evictions(NONE), 0, "consolidated without a budget");
 }
+
+/// A new leader does not know what is on a machine that has not answered yet: one that an earlier leader was emptying was taken for
+/// empty and returned, with replicas on it.
+#[test]
+fn a_machine_that_has_not_answered_the_new_leader_is_not_returned_as_empty() {
+    let mut sim = serving(21, TWO);
+    sim.drain("all", json!({}), "replace");
+    let replicas = |sim: &Sim, machine: u64| {
+        let tasks = (0..4).flat_map(|job| (0..3).map(move |index| format!("job-{job:06}/{index}")));
+        tasks.filter(|task| sim.machine_of(task) == Some(machine)).count()
+    };
+    let emptying = loop {
+        sim.run_until(sim.now + 20);
+        assert!(sim.now < 90_000, "no machine with replicas is being emptied");
+        if let Some(machine) = sim.emptying().into_iter().find(|machine| replicas(&sim, *machine) > 0) {
+            break machine;
+        }
+    };
+    sim.cut(emptying);
+    let leader = sim.leader().expect("somebody leads");
+    sim.crash(leader);
+    let loaded = |sim: &Sim| {
+        let term = |node: usize| sim.nodes[node].as_ref().and_then(|node| node.term());
+        sim.leader().and_then(term).is_some_and(|term| term.loaded())
+    };
+    while !loaded(&sim) {
+        sim.run_until(sim.now + 20);
+    }
+    sim.run_until(sim.now + 1500);
+    assert!(sim.workers.contains_key(&emptying), "returned with replicas on it");
+    sim.heal(emptying);
+    sim.start(leader);
+    assert!(sim.run_until_drain("all", "done", 500_000), "{:?}", sim.drain_status("all"));
+    sim.run_until(sim.now + 15_000);
+    all_run(&sim);
+}
+
+/// A machine that fails what is started on it gets nothing more, but the services that run there go on: a drain moves them.
+#[test]
+fn a_machine_out_of_order_is_emptied_like_others() {
+    let mut sim = serving(22, TWO);
+    // Its room is for tasks that fail.
+    sim.cancel("job-000003");
+    sim.run_until(sim.now + 5000);
+    sim.workers.values_mut().for_each(|worker| worker.sick = true);
+    for n in 90..94 {
+        sim.submit(&format!("job-{n:06}"), &batch(4, 5.0));
+    }
+    let held = with_replicas(&sim);
+    let out_of_order = |sim: &Sim| {
+        let term = sim.leader().and_then(|node| sim.nodes[node].as_ref()).and_then(|node| node.term());
+        let failing =
+            |m: &&caperstile::workers::Machine| m.draining == Some("fails its tasks") && held.contains(&m.id().0);
+        term.and_then(|term| term.machines().find(failing).map(|m| m.id().0))
+    };
+    let sick = loop {
+        sim.run_until(sim.now + 200);
+        assert!(sim.now < 90_000, "no machine with replicas is out of order");
+        if let Some(machine) = out_of_order(&sim) {
+            break machine;
+        }
+    };
+    sim.workers.values_mut().for_each(|worker| worker.sick = false);
+    sim.run_until(sim.now + 60_000);
+    assert!(sim.workers.contains_key(&sick), "its services go on");
+    sim.drain_machines("sick", &[sick]);
+    assert!(sim.run_until_drain("sick", "done", 300_000), "{:?}", sim.drain_status("sick"));
+    assert!(!sim.workers.contains_key(&sick));
+    sim.run_until(sim.now + 15_000);
+    assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+    (0..3).for_each(|n| assert_eq!(sim.running(&format!("job-{n:06}")), 3, "replicas of job {n}"));
+}
--- a/tests/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -62,6 +62,7 @@
             }
             CloudCall::Return(ids) => {
                 for id in ids {
+                    self.note_return_of_machine(id.0);
                     self.returned.entry(id.0).or_insert(self.now);
                     if let Some(w) = self.workers.remove(&id.0) {
                         *self.capacity.entry((w.zone, w.spot)).or_insert(0) += 1;
--- a/tests/support/drains.rs
+++ b/tests/support/drains.rs
@@ -106,6 +106,17 @@
         }
     }
 
+    /// A machine that is being emptied is returned: what runs on it was not moved. One that was not heard of lately is most likely
+    /// returned because it is silent.
+    pub(super) fn note_return_of_machine(&mut self, machine: u64) {
+        let Some(w) = self.workers.get(&machine).filter(|w| w.alive && self.now < w.renewed + 4000) else { return };
+        let tasks: Vec<String> =
+            w.tasks.values().filter(|t| t.state == TaskState::Running).map(|t| t.task.clone()).collect();
+        if self.emptying().contains(&machine) {
+            tasks.iter().for_each(|task| self.note_eviction(machine, task));
+        }
+    }
+
     /// A task runs again, or nobody wants it any more.
     pub(super) fn note_return(&mut self, task: &str) {
         self.disruption.out.remove(task);
