Drains: replacements of replacements are not counted twice; rounds look at less

Only machines that were there when the first of these drains was taken need one; members are kept with the time of their rental.

--- a/crates/disruption/src/candidates.rs
+++ b/crates/disruption/src/candidates.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Machines of which a step looks at the tasks; with more, others have their turn a second later.
-const LOOKS: usize = 256;
+const LOOKS: usize = 64;
 /// A machine whose batch tasks take longer than this stalls its drain.
 pub(crate) const STALL: Duration = Duration(60_000);
 
@@ -107,7 +107,7 @@
 /// What the solver is told of a machine.
 pub(crate) fn candidate(ready: &Ready, drains: &BTreeMap<String, Drain>) -> Candidate {
     let drain = drains.get(&ready.drain).filter(|drain| drain.replaces());
-    let replaced_at = drain.and_then(|drain| drain.members.get(&ready.machine)).cloned();
+    let replaced_at = drain.and_then(|drain| drain.members.get(&ready.machine)).map(|member| member.place.clone());
     Candidate { machine: ready.machine, load: ready.load.clone(), replaced_at }
 }
 
--- a/crates/disruption/src/coordinator.rs
+++ b/crates/disruption/src/coordinator.rs
@@ -165,7 +165,7 @@
                 && drain.replaces()
                 && rented_at >= drain.status.accepted_at
                 && !drain.members.contains_key(&id)
-                && drain.members.values().any(|member| member == place)
+                && drain.members.values().any(|member| member.place == *place)
         };
         self.drains.values().any(replaces)
     }
--- a/crates/disruption/src/coordinator/charges.rs
+++ b/crates/disruption/src/coordinator/charges.rs
@@ -72,6 +72,9 @@
     pub(super) fn charge_more(&mut self, round: &mut Round<'_>, allowances: &mut Allowances) {
         let going = self.emptying.iter().filter(|(_, emptying)| self.goes_on(emptying));
         let mut ids: Vec<(Wall, MachineId)> = going.map(|(id, emptying)| (emptying.since, *id)).collect();
+        if ids.is_empty() {
+            return;
+        }
         ids.sort();
         let without: BTreeSet<MachineId> = ids.iter().map(|(_, id)| *id).collect();
         let mut rooms = round.fleet.rooms(&without);
--- a/crates/disruption/src/coordinator/durable.rs
+++ b/crates/disruption/src/coordinator/durable.rs
@@ -1,8 +1,7 @@
 //! Durable records: read back by a new leader, and kept in step with what it decides.
 
 use super::{Coordinator, Effect, Emptying, Round};
-use crate::drain::Drain;
-use crate::fleet::Place;
+use crate::drain::{Drain, Member};
 use crate::records::{
     Charge, EmptyingRecord, MACHINES, MEMBERS, MemberPart, STATUSES, Status, machine_key, member_key, status_key,
 };
@@ -36,12 +35,12 @@
         self.store.drop_unwanted();
     }
 
-    fn restore_members(&self, name: &str) -> BTreeMap<MachineId, Place> {
+    fn restore_members(&self, name: &str) -> BTreeMap<MachineId, Member> {
         let prefix = format!("{MEMBERS}{name}/");
         let parts = self.store.stored_under(&prefix).filter_map(|(_, value)| read::<MemberPart>(value));
         let members = parts.flat_map(|part| {
             let place = part.place;
-            part.machines.into_iter().map(move |id| (id, place.clone()))
+            part.machines.into_iter().map(move |(id, rented_at)| (id, Member { place: place.clone(), rented_at }))
         });
         members.collect()
     }
--- a/crates/disruption/src/coordinator/steps.rs
+++ b/crates/disruption/src/coordinator/steps.rs
@@ -9,15 +9,16 @@
 use caperstile_units::{MachineId, Wall};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Machines without room for their replicas that a step tries, and rents room for.
+const HOMELESS: usize = 8;
+
 /// How the machines of a place are being replaced, over all drains that do so.
 #[derive(Debug, Default)]
 struct Replacement {
-    /// Machines that are gone or being emptied.
+    /// Machines to be replaced that are gone or being emptied.
     used: u32,
     /// Those that are still to come.
     left: u32,
-    /// Since when replacements are counted.
-    since: Option<Wall>,
     supply: Supply,
 }
 
@@ -58,14 +59,19 @@
         let limits = StepLimits { allowances, machines: most, ready: places.clone() };
         let chosen: BTreeSet<MachineId> = choose::choose(&candidates, &limits).into_iter().collect();
         let busy = self.emptying.keys().copied().chain(chosen.iter().copied()).collect();
-        let mut rooms = round.fleet.rooms(&busy);
-        let mut begun = 0;
+        let mut rooms = (!chosen.is_empty()).then(|| round.fleet.rooms(&busy));
+        let (mut begun, mut homeless) = (0, 0);
         for (ready, candidate) in ready.iter().zip(&candidates) {
             if !chosen.contains(&ready.machine) {
                 if let Err(blocked) = allowances.check(&ready.load) {
                     round.wait(Some(&ready.drain), blocked.to_string());
                 }
-            } else if !ready.replicas.is_empty() && !rooms.take(ready.machine, &ready.replicas) {
+            } else if homeless >= HOMELESS {
+                // Where so many found no room others are not tried in this step.
+            } else if !ready.replicas.is_empty()
+                && !rooms.as_mut().is_some_and(|rooms| rooms.take(ready.machine, &ready.replicas))
+            {
+                homeless += 1;
                 self.lacks_room(round, Some(&ready.drain), ready.machine, &ready.replicas);
             } else {
                 begun += 1;
@@ -147,26 +153,28 @@
         self.emptying.values().any(|emptying| emptying.drain.is_none())
     }
 
-    /// How far replacing is, by place. What is gone was replaced before, so it is counted against what was rented since.
+    /// How far replacing is, by place.
+    ///
+    /// Only machines that were there when the first of these drains was taken need a replacement: one that was rented since, and
+    /// is drained by a later drain, takes its own share of the supply along when it goes.
     fn replacements(&self, busy: &BTreeSet<MachineId>, fleet: &dyn Fleet) -> BTreeMap<Place, Replacement> {
+        let replacing: Vec<&Drain> = self.drains.values().filter(|drain| drain.runs() && drain.replaces()).collect();
+        let Some(since) = replacing.iter().map(|drain| drain.status.accepted_at).min() else { return BTreeMap::new() };
         let mut places: BTreeMap<Place, Replacement> = BTreeMap::new();
         let mut seen = BTreeSet::new();
-        for drain in self.drains.values().filter(|drain| drain.runs() && drain.replaces()) {
-            for (id, place) in &drain.members {
-                if !seen.insert(*id) {
-                    continue;
-                }
-                let replacement = places.entry(place.clone()).or_default();
-                let accepted = drain.status.accepted_at;
-                replacement.since = Some(replacement.since.map_or(accepted, |since| since.min(accepted)));
-                match fleet.exists(*id) && !busy.contains(id) {
-                    true => replacement.left += 1,
-                    false => replacement.used += 1,
-                }
+        for (id, member) in replacing.iter().flat_map(|drain| &drain.members) {
+            if !seen.insert(*id) {
+                continue;
+            }
+            let replacement = places.entry(member.place.clone()).or_default();
+            if fleet.exists(*id) && !busy.contains(id) {
+                replacement.left += 1;
+            } else if member.rented_at < since {
+                replacement.used += 1;
             }
         }
         for (place, replacement) in &mut places {
-            replacement.supply = fleet.supply(place, replacement.since.unwrap_or_default(), &seen);
+            replacement.supply = fleet.supply(place, since, busy);
         }
         places
     }
@@ -188,7 +196,9 @@
     }
 
     fn wait_for_place(&self, round: &mut Round<'_>, place: &Place) {
-        let concerned = |drain: &&Drain| drain.runs() && drain.replaces() && drain.members.values().any(|p| p == place);
+        let concerned = |drain: &&Drain| {
+            drain.runs() && drain.replaces() && drain.members.values().any(|member| member.place == *place)
+        };
         let names: Vec<String> =
             self.drains.iter().filter(|(_, drain)| concerned(drain)).map(|(name, _)| name.clone()).collect();
         for name in names {
--- a/crates/disruption/src/drain.rs
+++ b/crates/disruption/src/drain.rs
@@ -11,13 +11,20 @@
 /// Machines that a note names; of others only the number is told.
 const NAMED: usize = 5;
 
+/// A machine of a drain, as it was when the drain was taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Member {
+    pub place: Place,
+    pub rented_at: Wall,
+}
+
 /// A drain that was asked for.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Drain {
     pub request: Request,
     pub status: Status,
     /// Its machines, those that are gone included.
-    pub members: BTreeMap<MachineId, Place>,
+    pub members: BTreeMap<MachineId, Member>,
     /// Whether its status is stored, so that the next leader knows its machines.
     pub durable: bool,
 }
@@ -72,8 +79,9 @@
         };
         status.total = members.len() as u32;
         note_overlaps(&members, others, &mut status.notes);
-        let places = members.into_iter().map(|(id, machine)| (id, machine.place)).collect();
-        Drain { request: request.clone(), status, members: places, durable: false }
+        let member = |machine: MachineView| Member { place: machine.place, rented_at: machine.rented_at };
+        let members = members.into_iter().map(|(id, machine)| (id, member(machine))).collect();
+        Drain { request: request.clone(), status, members, durable: false }
     }
 
     /// A request that cannot be read.
@@ -120,12 +128,12 @@
     /// Its machines in parts that fit into values of this size.
     pub fn parts(&self, value_bytes: usize) -> Vec<MemberPart> {
         let most = (value_bytes.saturating_sub(PART_BYTES) / MEMBER_BYTES).max(1);
-        let mut by_place: BTreeMap<&Place, Vec<MachineId>> = BTreeMap::new();
-        for (id, place) in &self.members {
-            by_place.entry(place).or_default().push(*id);
+        let mut by_place: BTreeMap<&Place, Vec<(MachineId, Wall)>> = BTreeMap::new();
+        for (id, member) in &self.members {
+            by_place.entry(&member.place).or_default().push((*id, member.rented_at));
         }
         let parts = by_place.into_iter().flat_map(|(place, machines)| {
-            let parts = machines.chunks(most).map(<[MachineId]>::to_vec).collect::<Vec<_>>();
+            let parts = machines.chunks(most).map(<[_]>::to_vec).collect::<Vec<_>>();
             parts.into_iter().map(move |machines| MemberPart { place: place.clone(), machines })
         });
         parts.collect()
--- a/crates/disruption/src/records.rs
+++ b/crates/disruption/src/records.rs
@@ -165,8 +165,8 @@
 pub struct MemberPart {
     /// Type, zone and kind.
     pub place: Place,
-    /// Machines.
-    pub machines: Vec<MachineId>,
+    /// Machines, and when each was rented.
+    pub machines: Vec<(MachineId, Wall)>,
 }
 
 /// A machine that is being emptied.
@@ -204,7 +204,7 @@
 pub const CHARGE_BYTES: usize = 84;
 /// Bytes of a machine's record without charges, with the longest name of a drain.
 pub const MACHINE_BYTES: usize = 128;
-/// Most bytes that a machine takes in a part.
-pub const MEMBER_BYTES: usize = 17;
+/// Most bytes that a machine takes in a part: `[123456789012345,1234567890123],`.
+pub const MEMBER_BYTES: usize = 32;
 /// Bytes of a part without machines, generously: names of types and zones are short.
 pub const PART_BYTES: usize = 256;
--- a/src/drains/rooms.rs
+++ b/src/drains/rooms.rs
@@ -153,13 +153,15 @@
         !without.contains(&m.id()) && m.usable() && !m.record.spot && m.in_reach(term.scheduled, overdue)
     };
     let room = |machine: &'a Machine| {
+        let free = machine.free();
+        (free.cpus > 0).then_some(())?;
         Some(Room {
             id: machine.id(),
             machine: Some(machine),
             kind: &machine.record.kind,
             zone_name: &machine.record.zone,
             zone: term.names.zone(&machine.record.zone)?,
-            free: machine.free(),
+            free,
         })
     };
     term.machines.values().filter(open).filter_map(room).collect()
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -19,6 +19,8 @@
 const SCHEDULE_EVERY: Duration = Duration(100);
 /// Least time between two looks at what to rent and return.
 const DEMAND_EVERY: Duration = Duration(500);
+/// Least time between two rounds of drains, beside those that follow a write.
+const DRAIN_EVERY: Duration = Duration(1000);
 /// Tasks of one job that are planned at once.
 const BATCH: u32 = 128;
 
@@ -248,7 +250,10 @@
                 self.rent(now, wall, out);
                 self.return_idle(now);
                 self.consolidate(now, wall);
-                self.tend_drains(now, wall, out);
+                if now.since(self.drained) >= DRAIN_EVERY {
+                    self.drained = now;
+                    self.tend_drains(now, wall, out);
+                }
             }
         }
     }
--- a/src/term.rs
+++ b/src/term.rs
@@ -133,6 +133,8 @@
     pub(crate) behind: Duration,
     pub(crate) over: Option<Over>,
     pub(crate) drains: Option<Coordinator>,
+    /// When drains had their round last.
+    pub(crate) drained: Time,
 }
 
 impl Term {
@@ -179,6 +181,7 @@
             behind: Duration(0),
             over: None,
             drains: drains::coordinator(settings, now),
+            drained: Time(0),
             settings: settings.clone(),
         }
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -188,6 +188,8 @@
     kept: Vec<(u64, Box<Report>)>,
     /// The highest token under which a node has led.
     led: u64,
+    /// When it began to lead.
+    led_at: u64,
     /// Users ask at all nodes, and repeat what they sent, right after they were told something new.
     pub close_looks: bool,
     /// The cloud answers nothing but 503.
@@ -288,6 +290,7 @@
             kept_for_next: 0,
             kept: Vec::new(),
             led: 0,
+            led_at: 0,
             close_looks: false,
             cloud_down: false,
             refused: (0, 0),
