--- a/crates/disruption/src/coordinator/operators.rs
+++ b/crates/disruption/src/coordinator/operators.rs
@@ -2,7 +2,7 @@
 
 use super::{Coordinator, Effect, Round};
 use crate::drain::Drain;
-use crate::records::status_key;
+use crate::records::{Phase, status_key};
 use caperstile_units::{Duration, MachineId};
 use std::collections::BTreeSet;
 
@@ -35,6 +35,12 @@
                 (None, None) => drop(self.drains.insert(name.clone(), Drain::unreadable(asked.revision, round.wall))),
             }
         }
+        for (name, drain) in &mut self.drains {
+            // Whoever removes a request does not want it any more.
+            if !asked.contains_key(name) && drain.status.phase.is_live() {
+                drain.status.phase = Phase::Cancelled;
+            }
+        }
         self.forget_oldest();
     }
 
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -277,6 +277,27 @@
     assert_eq!((sim.disruption.evictions["web"], with_replicas(&sim)), (moved, left), "moved after the end");
 }
 
+/// A request that is removed by hand ends its drain, under this leader and the next.
+#[test]
+fn a_request_that_is_removed_ends_its_drain() {
+    let mut sim = serving(23, TWO);
+    sim.drain("all", json!({}), "replace");
+    while sim.disruption.evictions.get("web").copied().unwrap_or(0) < 3 {
+        sim.run_until(sim.now + 50);
+    }
+    sim.state.keys.remove("drain/request/all");
+    sim.run_until(sim.now + 8000);
+    assert_eq!(sim.drain_phase("all"), "cancelled");
+    let leader = sim.leader().expect("somebody leads");
+    sim.bounce(leader, 300);
+    sim.run_until(sim.now + 10_000);
+    let before = sim.disruption.evictions["web"];
+    sim.run_until(sim.now + 20_000);
+    assert_eq!((sim.disruption.evictions["web"], sim.emptying()), (before, Vec::new()));
+    assert!(sim.drain_status("all").is_none(), "its status is kept without its request");
+    all_run(&sim);
+}
+
 /// Requests that can never be carried out are refused at once with the reason.
 #[test]
 fn requests_that_cannot_be_carried_out_are_refused() {
