--- a/tests/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -47,6 +47,7 @@
                             waiting: None,
                             last_sent: 0,
                             renewed: 0,
+                            gap_at: 0,
                             notice_until: None,
                             sick: false,
                             hung: false,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -64,6 +64,8 @@
     waiting: Option<u64>,
     last_sent: u64,
     renewed: u64,
+    /// When its lease was renewed after a gap of more than a report and a half.
+    gap_at: u64,
     notice_until: Option<u64>,
     pub sick: bool,
     pub cut: bool,
@@ -555,6 +557,9 @@
                 }
                 let news = answer.token > w.token || !answer.orders.is_empty();
                 w.token = answer.token;
+                if sent > w.renewed + self.site.report_ms * 3 / 2 {
+                    w.gap_at = self.now;
+                }
                 w.renewed = sent;
                 self.execute(machine, &answer.orders);
                 if news {
