Provisioning, settings and scheduling in smaller modules; one look at the budget instead of two

Of drains: the budget was looked at twice before a stop, and taking the second look out turned nothing red, since what exceeds is given up just before; the second is gone. The stand-in checks that every write of drains has the leader key among its conditions, which nothing turned red before.

Checked: the whole suite before the last mend (rc 0), the suites of drains and both properties after it.

--- a/crates/disruption/src/coordinator.rs
+++ b/crates/disruption/src/coordinator.rs
@@ -205,8 +205,8 @@
             return self.wait_all(round, &format!("zone {zone} is out of reach"));
         }
         self.drop_what_exceeds(round);
+        self.command(round);
         let mut allowances = self.allowances(round);
-        self.command(round, &allowances);
         self.charge_more(round, &mut allowances);
         self.begin(round, &mut allowances);
     }
--- a/crates/disruption/src/coordinator/charges.rs
+++ b/crates/disruption/src/coordinator/charges.rs
@@ -44,15 +44,13 @@
         }
     }
 
-    /// Tells the tasks whose charge is durable to stop.
-    pub(super) fn command(&mut self, round: &mut Round<'_>, allowances: &Allowances) {
+    /// Tells the tasks whose charge is durable to stop; those that exceed a budget by now were given up before.
+    pub(super) fn command(&mut self, round: &mut Round<'_>) {
         let mut due: Vec<(MachineId, Charge, TaskClass)> = Vec::new();
         for (id, emptying) in self.emptying.iter().filter(|(_, emptying)| self.goes_on(emptying)) {
             let durable = self.durable_charges(*id);
             for charge in emptying.charges.difference(&emptying.commanded).filter(|charge| durable.contains(charge)) {
-                if let ChargeState::Standing { class, .. } = round.fleet.charge_state(charge)
-                    && allowances.exceeded(&class).is_none()
-                {
+                if let ChargeState::Standing { class, .. } = round.fleet.charge_state(charge) {
                     due.push((*id, *charge, class));
                 }
             }
--- /dev/null
+++ b/src/provisioning/headroom.rs
@@ -0,0 +1,198 @@
+//! Room that is kept ahead for what must not wait for a boot.
+
+use super::*;
+
+/// From a job's coming until a machine for it is asked for, and from its boot until it can be used.
+const COMMIT_AND_RENT: Duration = Duration(5000);
+/// Share of the tasks expected within a boot for which room is kept ahead; the others find that of jobs that end.
+const CLASS_ROOM_SHARE: f64 = 0.5;
+/// Room is kept for so many of the largest jobs of a class, whatever is expected.
+const LARGEST_JOBS: u64 = 2;
+
+/// Room of a machine that is not promised to anything yet.
+struct FreeRoom {
+    machine: MachineId,
+    free: Resources,
+    /// Room of tasks that services may push aside.
+    soft: Resources,
+}
+
+impl FreeRoom {
+    /// Takes free room for tasks, so many at the most; how many fit.
+    fn take(&mut self, need: &Resources, most: u64) -> u64 {
+        let count = need.times_in(&self.free).min(most);
+        for _ in 0..count {
+            self.free.sub(need);
+        }
+        count
+    }
+
+    /// The same with the room of tasks that may be pushed aside, which goes first.
+    fn take_with_soft(&mut self, need: &Resources, most: u64) -> u64 {
+        let mut all = self.free;
+        all.add(&self.soft);
+        let count = need.times_in(&all).min(most);
+        for _ in 0..count {
+            let mut from_free = *need;
+            from_free.sub(&self.soft);
+            self.soft.sub(need);
+            self.free.sub(&from_free);
+        }
+        count
+    }
+}
+
+impl Term {
+    /// Ordinary machines for what is likely to come before a machine rented for it would be up and must not wait so long: services,
+    /// and jobs whose class has an aim at starting. Notes the machines whose room is kept for the latter.
+    pub(super) fn headroom(&mut self, now: Time, boot: Duration) -> Vec<Demand> {
+        let mut rooms = self.free_rooms();
+        let mut demands: Vec<Demand> = self.service_headroom(now, boot, &mut rooms).into_iter().collect();
+        self.prompt_classes = self.settings.deployment.classes_to_start_within(boot);
+        let prompt =
+            |(name, class): &(&str, &ClassArrivals)| !class.largest().service && self.prompt_classes.contains(*name);
+        let mut classes: Vec<&ClassArrivals> = self.arrivals.classes().filter(prompt).map(|(_, class)| class).collect();
+        classes.sort_by_key(|class| class.largest().rank);
+        let mut kept = BTreeMap::new();
+        for class in classes {
+            demands.extend(self.class_headroom(now, boot, class, &mut rooms, &mut kept));
+        }
+        let changed = |id: &&MachineId| self.headroom.get(id) != kept.get(id);
+        self.changed.extend(self.headroom.keys().chain(kept.keys()).filter(changed));
+        self.headroom = kept;
+        demands
+    }
+
+    /// Free room of machines, the fullest first, so that others become idle.
+    fn free_rooms(&self) -> Vec<FreeRoom> {
+        let room = |s: &Server| FreeRoom { machine: s.id, free: s.free, soft: s.soft[0] };
+        let mut rooms: Vec<FreeRoom> = self.plans.servers().map(room).collect();
+        rooms.sort_by_key(|room| (room.free.cpus, room.machine));
+        rooms
+    }
+
+    /// Without room, even that of lower tasks, services would wait for the boot.
+    fn service_headroom(&self, now: Time, boot: Duration, rooms: &mut [FreeRoom]) -> Option<Demand> {
+        let (job, wanted) = self.expected_services(boot.as_secs())?;
+        let wanted = wanted + self.stranded(now) + self.held_back(now);
+        let profile = self.parts().profile_of(job);
+        let need = job.record.need;
+        let mut missing = wanted;
+        for room in rooms.iter_mut() {
+            if missing > 0 && self.plans.server(room.machine).is_some_and(|s| profile.predict(s).is_some()) {
+                missing -= room.take_with_soft(&need, missing);
+            }
+        }
+        Some(Demand {
+            job: job.record.id,
+            need,
+            count: missing as u32,
+            spot: false,
+            ordinary: true,
+            types: None,
+            zone: None,
+            zone_cap: u32::MAX,
+            one_zone: false,
+        })
+    }
+
+    /// Room for jobs of a class that are likely to come within a boot: what ends meanwhile makes room for half of them, but the
+    /// largest one must find room at any time.
+    fn class_headroom(
+        &self,
+        now: Time,
+        boot: Duration,
+        class: &ClassArrivals,
+        rooms: &mut [FreeRoom],
+        kept: &mut BTreeMap<MachineId, Resources>,
+    ) -> Option<Demand> {
+        let record = class.largest();
+        let expected = class.expected_tasks(now, boot + COMMIT_AND_RENT);
+        if expected <= 0.0 {
+            return None;
+        }
+        let wanted = ((expected * CLASS_ROOM_SHARE).ceil() as u64).max(LARGEST_JOBS * u64::from(record.tasks));
+        let profile = self.parts().profile_for(record, Vec::new());
+        let mut missing = wanted;
+        for room in rooms.iter_mut() {
+            let fits = self.plans.server(room.machine).is_some_and(|s| profile.predict(s).is_some());
+            let taken = if fits { room.take(&record.need, missing) } else { 0 };
+            if taken > 0 {
+                let kept = kept.entry(room.machine).or_default();
+                (0..taken).for_each(|_| kept.add(&record.need));
+                missing -= taken;
+            }
+        }
+        Some(Demand {
+            job: record.id,
+            need: record.need,
+            count: missing as u32,
+            spot: false,
+            ordinary: true,
+            types: record.types.clone(),
+            zone: record.zone.clone(),
+            zone_cap: record.zone_cap(),
+            one_zone: record.together,
+        })
+    }
+
+    /// How many tasks of services are likely to come within a boot, and a job like them.
+    pub(super) fn expected_services(&self, boot_s: f64) -> Option<(&Job, u64)> {
+        const WINDOW: Duration = Duration(120_000);
+        const SLOT: Duration = Duration(10_000);
+        // Jobs that come all at once, as at a start, say little of what comes next: a slot counts for no
+        // more than this, or than three ordinary ones.
+        const SLOT_LIMIT: u32 = 6;
+        let mut slots: BTreeMap<u64, u32> = BTreeMap::new();
+        let mut typical: Option<&Job> = None;
+        let now = self.scheduled;
+        for job in self.jobs.live().filter(|j| j.record.service && j.record.rank == 0 && j.record.zone.is_none()) {
+            let age = now.since(job.submitted);
+            if age < WINDOW {
+                *slots.entry(age.0 / SLOT.0).or_insert(0) += job.record.tasks;
+            }
+            if typical.is_none_or(|t| t.record.need.cpus < job.record.need.cpus) {
+                typical = Some(job);
+            }
+        }
+        let job = typical?;
+        let mut sizes: Vec<u32> = (0..WINDOW.0 / SLOT.0).map(|n| slots.get(&n).copied().unwrap_or(0)).collect();
+        sizes.sort_unstable();
+        let limit = SLOT_LIMIT.max(3 * sizes[sizes.len() / 2]);
+        let rate = sizes.iter().map(|n| f64::from((*n).min(limit))).sum::<f64>() / WINDOW.as_secs();
+        Some((job, ((rate * (boot_s + 10.0) * self.settings.tuning.room_ahead).ceil() as u64).max(3)))
+    }
+
+    /// Replicas that a new leader holds back because a zone does not answer: they are most likely lost with it, and
+    /// the machines for them should be up when that is sure.
+    pub(super) fn held_back(&self, now: Time) -> u64 {
+        if self.open()
+            || now.since(self.since) < Duration(3000)
+            || self.unfenced_zones().is_subset(&self.led_from_within)
+        {
+            return 0;
+        }
+        let services = self.jobs.live().filter(|j| j.record.service && j.durable && !j.ours && !j.cancelling);
+        services.map(|j| u64::from(j.pending.len().min(j.record.zone_cap()))).sum()
+    }
+
+    /// Replicas in zones that are cut off and may run elsewhere. They go on until their leases end; room for
+    /// them should be up by then.
+    pub(super) fn stranded(&self, now: Time) -> u64 {
+        let mut jobs: HashMap<JobId, u32> = HashMap::new();
+        for m in self.machines.values().filter(|m| self.lost_since(&m.record.zone, now).is_some()) {
+            for hold in m.holds.values().filter(|h| h.claimed && h.predicted.is_none() && h.occupies()) {
+                *jobs.entry(hold.task.job).or_default() += 1;
+            }
+        }
+        let parts = self.parts();
+        let zones: BTreeSet<&String> = self.inventory.flavors().into_iter().flatten().flat_map(|f| &f.zones).collect();
+        let elsewhere = |job: &Job| -> u32 {
+            let there = parts.by_zone(job);
+            let open = zones.iter().filter(|z| self.lost_since(z, now).is_none());
+            let placed = |zone: &str| self.names.zone(zone).and_then(|z| there.get(&z).copied()).unwrap_or(0);
+            open.map(|z| job.record.zone_cap().saturating_sub(placed(z))).fold(0, u32::saturating_add)
+        };
+        jobs.iter().filter_map(|(id, lost)| Some(u64::from(elsewhere(self.jobs.get(*id)?).min(*lost)))).sum()
+    }
+}
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -14,6 +14,9 @@
 mod limits;
 mod room;
 mod starts;
+mod view;
+
+pub(crate) use view::{Names, View};
 
 /// Least time between two plannings: a controller has a tenth of a core.
 const SCHEDULE_EVERY: Duration = Duration(100);
@@ -36,137 +39,6 @@
 /// Used by tasks of which nothing is known: no limited team may start anything beside it.
 const UNKNOWN: Resources = Resources { cpus: u64::MAX >> 32, gpus: u64::MAX >> 32, memory: u64::MAX >> 32 };
 
-/// The parts of a term that planning reads, borrowed beside the plan itself.
-pub(crate) struct View<'a> {
-    jobs: &'a intake::JobStore,
-    machines: &'a BTreeMap<MachineId, Machine>,
-    inventory: &'a inventory::Inventory,
-    correction: crate::plan::Correction,
-    names: &'a Names,
-}
-
-impl View<'_> {
-    /// Whether the job's description allows its tasks on this machine.
-    pub(crate) fn allowed(&self, job: &Job, id: MachineId) -> bool {
-        let Some(m) = self.machines.get(&id) else { return false };
-        job.record.allows(&m.record.kind, &m.record.zone, m.record.spot) && !job.failed_on.contains(&id)
-    }
-
-    /// How many of a job's tasks are, or may be, in each zone.
-    pub(crate) fn by_zone(&self, job: &Job) -> BTreeMap<usize, u32> {
-        let mut zones = BTreeMap::new();
-        for placed in job.placed.values() {
-            if let Some(zone) = self.machines.get(&placed.machine).and_then(|m| self.names.zone(&m.record.zone)) {
-                *zones.entry(zone).or_insert(0) += 1;
-            }
-        }
-        zones
-    }
-
-    /// Run-time estimate plus uncached image fetch, scaled by CorrecFAST, by type of machine.
-    pub(crate) fn profile_of(&self, job: &Job) -> Profile {
-        let mut avoid = job.failed_on.clone();
-        if let Some(gang) = &job.gang {
-            let knows = |id: &&MachineId| self.machines.get(id).is_some_and(|m| m.knows_job(job.record.id));
-            avoid.extend(gang.former.iter().filter(knows));
-        }
-        self.profile_for(&job.record, avoid)
-    }
-
-    /// The same for any job like this one.
-    pub(crate) fn profile_for(&self, record: &intake::JobRecord, avoid: Vec<MachineId>) -> Profile {
-        let kinds = self.names.kinds.iter().map(|kind| {
-            let flavor = self.inventory.flavor(kind)?;
-            let named = record.types.as_ref().is_none_or(|types| types.contains(kind));
-            if !named || !record.need.fits(&intake::capacity(flavor)) {
-                return None;
-            }
-            let fetch = if flavor.fetch_gb_per_s > 0.0 {
-                Duration((record.image_mb as f64 / flavor.fetch_gb_per_s) as u64)
-            } else {
-                Duration(0)
-            };
-            let estimate = record.estimate;
-            Some((self.correction.predict(estimate), self.correction.predict(estimate + fetch)))
-        });
-        Profile {
-            kinds: kinds.collect(),
-            zone: record.zone.as_ref().map(|z| self.names.zone(z).unwrap_or(usize::MAX)),
-            spot: record.spot,
-            avoid,
-            image: self.names.image(&record.image),
-        }
-    }
-}
-
-impl World for View<'_> {
-    fn profile(&self, job: JobId) -> Option<Profile> {
-        Some(self.profile_of(self.jobs.get(job)?))
-    }
-
-    fn zones(&self, job: JobId, planned: &BTreeMap<usize, u32>) -> Zones {
-        let Some(job) = self.jobs.get(job) else { return Zones::default() };
-        let mut taken = self.by_zone(job);
-        for (zone, n) in planned {
-            *taken.entry(*zone).or_insert(0) += n;
-        }
-        let together = job.record.together;
-        let left = (0..self.names.zones.len()).map(|zone| {
-            if together && taken.keys().any(|z| *z != zone) {
-                return 0;
-            }
-            job.record.zone_cap().saturating_sub(taken.get(&zone).copied().unwrap_or(0))
-        });
-        Zones { left: left.collect(), together }
-    }
-}
-
-/// Names that the plan knows as indexes.
-#[derive(Debug, Default)]
-pub(crate) struct Names {
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    images: HashMap<String, plan::Image>,
-}
-
-fn index_of(names: &mut Vec<String>, name: &str) -> usize {
-    names.iter().position(|n| n == name).unwrap_or_else(|| {
-        names.push(name.to_string());
-        names.len() - 1
-    })
-}
-
-impl Names {
-    pub(crate) fn zone(&self, name: &str) -> Option<usize> {
-        self.zones.iter().position(|z| z == name)
-    }
-
-    pub(crate) fn zone_name(&self, index: usize) -> Option<&str> {
-        self.zones.get(index).map(String::as_str)
-    }
-
-    /// An image that no machine has is none of those that machines have.
-    fn image(&self, name: &str) -> plan::Image {
-        self.images.get(name).copied().unwrap_or(plan::Image::MAX)
-    }
-
-    fn images<'a>(&mut self, names: impl Iterator<Item = &'a String>) -> Vec<plan::Image> {
-        let mut found: Vec<plan::Image> = names
-            .map(|name| match self.images.get(name) {
-                Some(image) => *image,
-                None => {
-                    let image = self.images.len() as plan::Image;
-                    self.images.insert(name.clone(), image);
-                    image
-                }
-            })
-            .collect();
-        found.sort_unstable();
-        found.dedup();
-        found
-    }
-}
-
 pub(crate) fn order_of(job: &Job) -> Order {
     Order { rank: job.urgency, seq: job.seq }
 }
@@ -382,8 +254,8 @@
             let leaves = self.drains.as_ref().is_some_and(|drains| drains.is_member(id));
             return Some(Server {
                 id,
-                zone: index_of(&mut self.names.zones, &m.record.zone),
-                kind: index_of(&mut self.names.kinds, &m.record.kind),
+                zone: self.names.zone_index(&m.record.zone),
+                kind: self.names.kind_index(&m.record.kind),
                 spot: m.record.spot,
                 ready: now,
                 slack: if m.usable() { Duration(0) } else { Duration(500) },
@@ -402,8 +274,8 @@
         let free = intake::capacity(flavor);
         Some(Server {
             id,
-            zone: index_of(&mut self.names.zones, &b.zone),
-            kind: index_of(&mut self.names.kinds, &b.kind),
+            zone: self.names.zone_index(&b.zone),
+            kind: self.names.kind_index(&b.kind),
             spot: b.spot,
             ready: b.since + Duration::secs(flavor.boot_s * 1.05),
             slack: Duration(2000),
--- /dev/null
+++ b/src/settings/limits.rs
@@ -0,0 +1,170 @@
+//! Worker timing, and the limits of the state service, the cloud and this process.
+
+use crate::units::Duration;
+use serde::Deserialize;
+
+/// Worker timing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct WorkerTimes {
+    /// Interval of reports.
+    pub report_s: f64,
+    /// A worker's lease.
+    pub lease_s: f64,
+    /// Time until a cancelled job's tasks must be gone.
+    pub cancel_s: f64,
+    /// Time after which a task gives up waiting for the other tasks of its gang.
+    #[serde(default = "default_gang_wait")]
+    pub gang_wait_s: f64,
+    /// Time within which tasks of a gang notice that another is gone, and within which all must be told to stop.
+    #[serde(default = "default_gang_peer")]
+    pub gang_peer_s: f64,
+}
+
+impl WorkerTimes {
+    /// A machine that nothing has reached for so long gets no further tasks: two reports and a little.
+    pub fn overdue(&self) -> Duration {
+        Duration::secs(self.report_s * 2.0 + 2.0)
+    }
+
+    /// When so many workers that report regularly are silent for so long, it is not by chance: each reports
+    /// within the longest interval, and of many some do in a small part of it.
+    pub fn silence(&self, workers: usize) -> Duration {
+        let gaps = 20.0 * self.report_s / workers.max(1) as f64;
+        Duration::secs(gaps.clamp(1.5, (self.report_s * 1.25 + 0.5).max(1.5)))
+    }
+
+    /// How long the tasks of a gang wait for each other.
+    pub fn gang_wait(&self) -> Duration {
+        Duration::secs(self.gang_wait_s)
+    }
+
+    /// A copy of a message may come well over a lease late; after this time none is expected any more. With two leases a copy of a start
+    /// that came 35 s late, at a lease of 16 s, found its attempt forgotten and ran it again.
+    pub fn copies_over(&self) -> Duration {
+        Duration::secs(self.lease_s * 2.5)
+    }
+}
+
+/// Limits of the state service, shared by all nodes.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    /// Requests per second.
+    pub rps: f64,
+    /// Changes per second.
+    pub write_rps: f64,
+    /// Largest value.
+    pub value_kb: f64,
+    /// Most changes in a transaction.
+    pub txn_ops: usize,
+    /// Limits that come into force at some moment, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits that the state service will have; what is not named stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextLimits {
+    /// Requests per second.
+    pub rps: Option<f64>,
+    /// Changes per second.
+    pub write_rps: Option<f64>,
+    /// Largest value.
+    pub value_kb: Option<f64>,
+    /// Most changes in a transaction.
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The largest value that is taken now and later.
+    pub fn value_kb_always(&self) -> f64 {
+        self.next.as_ref().and_then(|n| n.value_kb).map_or(self.value_kb, |kb| kb.min(self.value_kb))
+    }
+    /// The most changes of a transaction that is taken now and later.
+    pub fn txn_ops_always(&self) -> usize {
+        self.next.as_ref().and_then(|n| n.txn_ops).map_or(self.txn_ops, |ops| ops.min(self.txn_ops))
+    }
+    /// Changes per second now, and once the state service says that they are too many.
+    pub fn write_rates(&self) -> (f64, f64) {
+        let later = self.next.as_ref().and_then(|n| n.write_rps).unwrap_or(self.write_rps);
+        (self.write_rps, later.min(self.write_rps))
+    }
+}
+
+/// Limits of the cloud, shared by all nodes.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    /// Requests per second.
+    pub rps: f64,
+    /// How late its list is.
+    #[serde(default)]
+    pub list_lag_s: f64,
+}
+
+/// Limits of this process.
+#[derive(Debug, Clone, Deserialize)]
+pub struct ProcessLimits {
+    /// Share of a core.
+    #[serde(default = "default_cpu")]
+    pub cpu: f64,
+    /// Memory.
+    #[serde(default = "default_memory")]
+    pub memory_mb: f64,
+    /// Sockets.
+    #[serde(default = "default_fds")]
+    pub fd_limit: u64,
+}
+
+impl ProcessLimits {
+    /// Direct commands that may be under way at once: most sockets are for workers and users.
+    pub fn commands_at_once(&self) -> usize {
+        (self.fd_limit / 12).clamp(8, 200) as usize
+    }
+    /// Jobs that are kept open: what is left of the memory with all connections in use. 250 for each MB, as it was,
+    /// was more than 37 MB hold beside 900 connections.
+    pub fn open_jobs(&self) -> usize {
+        let left = self.memory_mb - BASE_MB - self.connections() as f64 * CONNECTION_MB;
+        (left.max(self.memory_mb / 8.0) / JOB_MB) as usize
+    }
+    /// Inputs that may wait for the core; beyond it, requests are refused. Each connection has one under way at the most.
+    pub fn inputs_waiting(&self) -> usize {
+        self.connections().max(FEWEST_INPUTS)
+    }
+    /// Connections that are taken from workers and users; the others are for the state service, the
+    /// cloud, commands to workers, and peers.
+    pub fn connections(&self) -> usize {
+        let reserved = 2 * self.commands_at_once() as u64 + 50;
+        self.fd_limit.saturating_sub(reserved).max(16) as usize
+    }
+}
+
+/// What a node holds before its first connection, in MB, with a margin.
+pub(super) const BASE_MB: f64 = 8.0;
+
+/// What a connection holds at the most.
+pub(super) const CONNECTION_MB: f64 = 0.02;
+
+/// What an open job holds, its tasks among it.
+pub(super) const JOB_MB: f64 = 0.003;
+
+/// Inputs that may wait however few sockets there are: answers of workers and the cloud are among them.
+const FEWEST_INPUTS: usize = 2048;
+
+fn default_gang_wait() -> f64 {
+    30.0
+}
+
+fn default_gang_peer() -> f64 {
+    5.0
+}
+
+fn default_fds() -> u64 {
+    512
+}
+
+fn default_cpu() -> f64 {
+    1.0
+}
+
+fn default_memory() -> f64 {
+    64.0
+}
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -1,3 +1,4 @@
+use super::limits::{BASE_MB, CONNECTION_MB, JOB_MB};
 use super::*;
 
 /// Settings of a small deployment, for tests everywhere.
--- a/tests/support/drains.rs
+++ b/tests/support/drains.rs
@@ -82,6 +82,18 @@
         }
     }
 
+    /// What a leader writes of drains must fail once another one leads.
+    pub(super) fn check_drain_write(&mut self, call: &StateCall) {
+        let StateCall::Txn(txn) = call else { return };
+        let of_drains = |change: &Change| match change {
+            Change::Put { key, .. } | Change::Delete { key } => key.starts_with("drain/"),
+        };
+        let leads = txn.conditions.iter().any(|c| c.key.starts_with("leader") && c.version > 0);
+        if txn.changes.iter().any(of_drains) && !leads {
+            self.broken.push(format!("{} a write of drains without the leader key: {txn:?}", self.now));
+        }
+    }
+
     /// A replica that runs is about to be stopped by command.
     pub(super) fn note_eviction(&mut self, machine: u64, task: &str) {
         let Some(job) = self.jobs.get(job_of(task)) else { return };
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -447,6 +447,7 @@
             }
             Event::State(node, epoch, slot, id, call) => {
                 self.check_enrolled(&call);
+                self.check_drain_write(&call);
                 let refused = self.state.refuses(node);
                 let (share, at_once) = self.late_writes;
                 if matches!(*call, StateCall::Txn(_)) && !refused && share > 0 && self.chance(100) < share {
