Drains: a test for a drain that is held up beside another one

Need: taking out the places that held-up machines have of their own turned nothing red; a_drain_that_is_held_up_does_not_hold_others_up does.

--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -211,6 +211,27 @@
     all_run(&sim);
 }
 
+/// A drain that a long render holds up takes no place from another one, even where one machine may be emptied at a time.
+#[test]
+fn a_drain_that_is_held_up_does_not_hold_others_up() {
+    const ONE_MACHINE: &str = "[drains]\nenabled = yes\nmax_machines = 1\n[budget crew/web]\nmax_unavailable = 2\n\
+        [budget crew/render]\nevict_batch = never\n";
+    let mut sim = serving(24, ONE_MACHINE);
+    sim.submit("job-000050", &batch(1, 900.0));
+    sim.run_until(sim.now + 20_000);
+    let slow = sim.machine_of("job-000050/0").expect("the render runs");
+    let others: Vec<u64> = with_replicas(&sim).into_iter().filter(|machine| *machine != slow).take(2).collect();
+    sim.drain_machines("slow", &[slow]);
+    sim.run_until(sim.now + 20_000);
+    assert_eq!(sim.emptying(), [slow]);
+    sim.drain_machines("others", &others);
+    assert!(sim.run_until_drain("others", "done", sim.now + 90_000), "{:?}", sim.drain_status("others"));
+    assert_eq!(sim.drain_phase("slow"), "running");
+    assert!(waits_for(&sim, "slow").contains("job-000050/0 of crew/render"), "{}", waits_for(&sim, "slow"));
+    sim.run_until(sim.now + 15_000);
+    all_run(&sim);
+}
+
 /// Batch tasks of a class that forbids it are never stopped.
 #[test]
 fn batch_work_is_left_to_end_where_its_class_says_so() {
