Drains: logic that stood twice, and what nothing used

In tests the service and the look at the ends of both properties are one piece each, with their assertions.

Checked: fmt, clippy, the suites of the package, drains, both properties, the processes and the units of the main package. The rest of the suite was not run again.

--- a/crates/disruption/src/allowance.rs
+++ b/crates/disruption/src/allowance.rs
@@ -105,11 +105,10 @@
         charges: impl Iterator<Item = (&'a ChargeState, u32)>,
         last: &LastEvictions,
     ) -> Allowances {
-        let mut wanted: BTreeMap<Scope, u32> = BTreeMap::new();
+        let wanted = wanted_by_scope(demand);
         let mut allowances = Allowances::default();
         for (class, demand) in demand {
             for scope in scopes_of(class) {
-                *wanted.entry(scope.clone()).or_default() += demand.wanted;
                 allowances.accounts.entry(scope).or_default().out += demand.unavailable;
             }
         }
@@ -138,13 +137,10 @@
         }
     }
 
-    /// Whether a scope has more out than it may.
-    pub fn exceeded(&self, class: &TaskClass) -> Option<Blocked> {
-        scopes_of(class).into_iter().find_map(|scope| {
-            let account = self.accounts.get(&scope)?;
-            let allowed = account.allowed?;
-            (account.out > allowed).then_some(Blocked::Used { scope, more: 0, out: account.out, allowed })
-        })
+    /// Whether a class or its team has more out than it may.
+    pub fn is_exceeded(&self, class: &TaskClass) -> bool {
+        let exceeds = |account: &Account| account.allowed.is_some_and(|allowed| account.out > allowed);
+        scopes_of(class).iter().any(|scope| self.accounts.get(scope).is_some_and(exceeds))
     }
 
     /// How much of a scope may be evicted now.
@@ -197,6 +193,11 @@
     }
 }
 
+/// What is wanted of each scope.
+pub fn wanted_by_scope(demand: &BTreeMap<TaskClass, Demand>) -> BTreeMap<Scope, u32> {
+    by_scope(&demand.iter().map(|(class, demand)| (class.clone(), demand.wanted)).collect())
+}
+
 /// A load by the scopes that it is charged to.
 pub fn by_scope(load: &Load) -> BTreeMap<Scope, u32> {
     let mut scopes = BTreeMap::new();
--- a/crates/disruption/src/candidates.rs
+++ b/crates/disruption/src/candidates.rs
@@ -98,10 +98,7 @@
         let stalls = longest_batch(&view).is_some_and(|(_, left)| left > STALL);
         Some(Ready { drain, machine, replicas: replicas_of, load, stalls })
     };
-    let mut ready: Vec<Ready> = waiting.into_iter().filter_map(look).collect();
-    // The turn decides first, but a machine that would stall comes after those that would not.
-    ready.sort_by_key(|ready| ready.stalls);
-    ready
+    waiting.into_iter().filter_map(look).collect()
 }
 
 /// What the solver is told of a machine.
--- a/crates/disruption/src/coordinator.rs
+++ b/crates/disruption/src/coordinator.rs
@@ -57,6 +57,14 @@
     released: bool,
 }
 
+impl Emptying {
+    /// Whether it is to be emptied further: its drain runs, or it is being consolidated.
+    fn goes_on(&self, drains: &BTreeMap<String, Drain>) -> bool {
+        let runs = |name: &String| drains.get(name).is_some_and(Drain::runs);
+        !self.released && self.drain.as_ref().is_none_or(runs)
+    }
+}
+
 /// What a round knows and gathers.
 struct Round<'a> {
     now: Time,
@@ -142,12 +150,6 @@
         self.drains.get(name).map(|drain| &drain.status)
     }
 
-    /// Machines that are to be emptied now or later, so that they are better not filled.
-    pub fn members(&self) -> impl Iterator<Item = MachineId> {
-        let running = self.drains.values().filter(|drain| drain.runs());
-        running.flat_map(|drain| drain.members.keys().copied())
-    }
-
     /// Whether a machine belongs to a drain that runs.
     pub fn is_member(&self, id: MachineId) -> bool {
         self.drains.values().any(|drain| drain.runs() && drain.members.contains_key(&id))
@@ -196,8 +198,8 @@
     }
 
     fn step(&mut self, round: &mut Round<'_>) {
-        let active =
-            self.emptying.values().any(|emptying| self.goes_on(emptying)) || self.drains.values().any(Drain::runs);
+        let goes_on = |emptying: &Emptying| emptying.goes_on(&self.drains);
+        let active = self.emptying.values().any(goes_on) || self.drains.values().any(Drain::runs);
         if !active {
             return;
         }
@@ -206,6 +208,7 @@
         }
         self.drop_what_exceeds(round);
         self.command(round);
+        // Again, since charges were dropped and evictions noted.
         let mut allowances = self.allowances(round);
         self.charge_more(round, &mut allowances);
         self.begin(round, &mut allowances);
@@ -217,10 +220,9 @@
         }
     }
 
-    /// Whether a machine is to be emptied further: its drain runs, or it is being consolidated.
-    fn goes_on(&self, emptying: &Emptying) -> bool {
-        let runs = |name: &String| self.drains.get(name).is_some_and(Drain::runs);
-        !emptying.released && emptying.drain.as_ref().is_none_or(runs)
+    /// Machines that take no work because they are being emptied.
+    fn busy(&self) -> BTreeSet<MachineId> {
+        self.emptying.iter().filter(|(_, emptying)| !emptying.released).map(|(id, _)| *id).collect()
     }
 
     fn allowances(&self, round: &Round<'_>) -> Allowances {
--- a/crates/disruption/src/coordinator/charges.rs
+++ b/crates/disruption/src/coordinator/charges.rs
@@ -4,7 +4,6 @@
 use crate::allowance::{Allowances, Load};
 use crate::budget::{BatchEviction, TaskClass, scopes_of};
 use crate::candidates::{load_of, part_of};
-use crate::drain::Drain;
 use crate::fleet::{ChargeState, Fleet, MachineView, Rooms, TaskKind, TaskView};
 use crate::records::{CHARGE_BYTES, Charge, MACHINE_BYTES};
 use caperstile_units::{Duration, MachineId, TaskAttempt, TaskId, Wall};
@@ -14,13 +13,12 @@
     /// Returns the charges of what runs again or is over, and of what a drain at rest has charged and not stopped.
     pub(super) fn return_charges(&mut self, fleet: &dyn Fleet) {
         let drains = &self.drains;
-        let runs = |name: &String| drains.get(name).is_some_and(Drain::runs);
         for emptying in self.emptying.values_mut() {
-            let rests = emptying.released || emptying.drain.as_ref().is_some_and(|name| !runs(name));
+            let goes_on = emptying.goes_on(drains);
             let commanded = &emptying.commanded;
             emptying.charges.retain(|charge| match fleet.charge_state(charge) {
                 ChargeState::Returned => false,
-                ChargeState::Standing { .. } => !rests || commanded.contains(charge),
+                ChargeState::Standing { .. } => goes_on || commanded.contains(charge),
                 ChargeState::Out { .. } => true,
             });
             let charges = &emptying.charges;
@@ -36,9 +34,7 @@
         for emptying in self.emptying.values_mut() {
             let commanded = &emptying.commanded;
             emptying.charges.retain(|charge| match round.fleet.charge_state(charge) {
-                ChargeState::Standing { class, .. } => {
-                    commanded.contains(charge) || allowances.exceeded(&class).is_none()
-                }
+                ChargeState::Standing { class, .. } => commanded.contains(charge) || !allowances.is_exceeded(&class),
                 _ => true,
             });
         }
@@ -47,7 +43,7 @@
     /// Tells the tasks whose charge is durable to stop; those that exceed a budget by now were given up before.
     pub(super) fn command(&mut self, round: &mut Round<'_>) {
         let mut due: Vec<(MachineId, Charge, TaskClass)> = Vec::new();
-        for (id, emptying) in self.emptying.iter().filter(|(_, emptying)| self.goes_on(emptying)) {
+        for (id, emptying) in self.emptying.iter().filter(|(_, emptying)| emptying.goes_on(&self.drains)) {
             let durable = self.durable_charges(*id);
             for charge in emptying.charges.difference(&emptying.commanded).filter(|charge| durable.contains(charge)) {
                 if let ChargeState::Standing { class, .. } = round.fleet.charge_state(charge) {
@@ -68,7 +64,7 @@
 
     /// Charges what is left on machines that are being emptied, as far as the budgets go.
     pub(super) fn charge_more(&mut self, round: &mut Round<'_>, allowances: &mut Allowances) {
-        let going = self.emptying.iter().filter(|(_, emptying)| self.goes_on(emptying));
+        let going = self.emptying.iter().filter(|(_, emptying)| emptying.goes_on(&self.drains));
         let mut ids: Vec<(Wall, MachineId)> = going.map(|(id, emptying)| (emptying.since, *id)).collect();
         if ids.is_empty() {
             return;
--- a/crates/disruption/src/coordinator/operators.rs
+++ b/crates/disruption/src/coordinator/operators.rs
@@ -4,7 +4,6 @@
 use crate::drain::Drain;
 use crate::records::{Phase, status_key};
 use caperstile_units::{Duration, MachineId};
-use std::collections::BTreeSet;
 
 /// Drains that are over and still shown.
 const HISTORY: usize = 20;
@@ -88,8 +87,7 @@
             return;
         }
         self.told = round.now;
-        let busy: BTreeSet<MachineId> =
-            self.emptying.iter().filter(|(_, emptying)| !emptying.released).map(|(id, _)| *id).collect();
+        let busy = self.busy();
         for (name, drain) in &mut self.drains {
             let mut reasons = round.waits.get(name).cloned().unwrap_or_default();
             reasons.dedup();
--- a/crates/disruption/src/coordinator/steps.rs
+++ b/crates/disruption/src/coordinator/steps.rs
@@ -6,7 +6,7 @@
 use crate::choose::{self, Candidate, StepLimits};
 use crate::drain::Drain;
 use crate::fleet::{Fleet, Place, Supply, TaskView};
-use caperstile_units::{MachineId, Wall};
+use caperstile_units::{MachineId, Time, Wall};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Machines without room for their replicas that a step tries, and rents room for.
@@ -25,8 +25,7 @@
 impl Coordinator {
     /// Begins to empty as many machines as budgets, room and replacements allow.
     pub(super) fn begin(&mut self, round: &mut Round<'_>, allowances: &mut Allowances) {
-        let busy: BTreeSet<MachineId> =
-            self.emptying.iter().filter(|(_, emptying)| !emptying.released).map(|(id, _)| *id).collect();
+        let busy = self.busy();
         let waiting = candidates::waiting(&self.drains, &busy, round.fleet, round.wall);
         let ready = candidates::ready(waiting, round.fleet);
         let most = self.policy.parallel.of(round.fleet.machine_ids().len() as u32).max(1);
@@ -75,9 +74,7 @@
                 self.lacks_room(round, Some(&ready.drain), ready.machine, &ready.replicas);
             } else {
                 begun += 1;
-                if let Some(left) = candidate.replaced_at.as_ref().and_then(|place| places.get_mut(place)) {
-                    *left = left.saturating_sub(1);
-                }
+                use_replacement(candidate, places);
                 self.begin_machine(round, ready, allowances);
             }
         }
@@ -123,16 +120,14 @@
             .zip(candidates)
             .find(|(ready, candidate)| !busy.contains(&ready.drain) && replaced(candidate) && begins(ready));
         if let Some((ready, candidate)) = found {
-            if let Some(left) = candidate.replaced_at.as_ref().and_then(|place| places.get_mut(place)) {
-                *left = left.saturating_sub(1);
-            }
+            use_replacement(candidate, places);
             let (id, drain) = (ready.machine, ready.drain.clone());
             self.enter(id, Some(drain), round.wall);
         }
     }
 
     /// Empties a machine whose services fit elsewhere, if the budgets allow it now; false: not now.
-    pub fn consolidate(&mut self, now: caperstile_units::Time, wall: Wall, id: MachineId, fleet: &dyn Fleet) -> bool {
+    pub fn consolidate(&mut self, now: Time, wall: Wall, id: MachineId, fleet: &dyn Fleet) -> bool {
         let ready = self.policy.enabled && self.restored && fleet.settled() && fleet.lost_zone().is_none();
         let Some(view) = fleet.machine(id).filter(|_| ready && !self.emptying.contains_key(&id)) else { return false };
         let demand = fleet.demand();
@@ -207,6 +202,13 @@
     }
 }
 
+/// A machine that is begun takes one of the replacements that are ready in its place.
+fn use_replacement(candidate: &Candidate, places: &mut BTreeMap<Place, u32>) {
+    if let Some(left) = candidate.replaced_at.as_ref().and_then(|place| places.get_mut(place)) {
+        *left = left.saturating_sub(1);
+    }
+}
+
 fn stalls(id: MachineId, fleet: &dyn Fleet) -> bool {
     let view = fleet.machine(id);
     view.as_ref().and_then(candidates::longest_batch).is_some_and(|(_, left)| left > candidates::STALL)
--- a/crates/disruption/src/drain.rs
+++ b/crates/disruption/src/drain.rs
@@ -1,5 +1,6 @@
 //! One drain: how it is taken or refused, and which machines belong to it.
 
+use crate::allowance::wanted_by_scope;
 use crate::budget::{Policy, Scope, scopes_of};
 use crate::fleet::{Fleet, MachineView, Place, TaskKind};
 use crate::records::{
@@ -55,25 +56,13 @@
         policy: &Policy,
         others: &BTreeMap<String, Drain>,
     ) -> Drain {
-        let mut status = Status {
-            phase: Phase::Running,
-            request: revision,
-            created: revision,
-            accepted_at: wall,
-            refusal: None,
-            notes: Vec::new(),
-            total: 0,
-            emptied: 0,
-            emptying: 0,
-            waits_for: Vec::new(),
-        };
+        let mut status = Status::asked_for(revision, wall);
         let taken = check_name(name).and_then(|()| select(&request.selector, wall, fleet, &mut status.notes));
         let checked = taken.and_then(|members| check_budgets(&members, fleet, policy).map(|()| members));
         let members = match checked {
             Ok(members) => members,
             Err(refusal) => {
-                status.phase = Phase::Refused;
-                status.refusal = Some(refusal.to_string());
+                status.refuse(refusal.to_string());
                 BTreeMap::new()
             }
         };
@@ -87,18 +76,8 @@
     /// A request that cannot be read.
     pub fn unreadable(revision: u64, wall: Wall) -> Drain {
         let request = Request { selector: Selector::Machines(Vec::new()), mode: Mode::Remove, wanted: Wanted::Run };
-        let status = Status {
-            phase: Phase::Refused,
-            request: revision,
-            created: revision,
-            accepted_at: wall,
-            refusal: Some(Refusal::Unreadable.to_string()),
-            notes: Vec::new(),
-            total: 0,
-            emptied: 0,
-            emptying: 0,
-            waits_for: Vec::new(),
-        };
+        let mut status = Status::asked_for(revision, wall);
+        status.refuse(Refusal::Unreadable.to_string());
         Drain { request, status, members: BTreeMap::new(), durable: false }
     }
 
@@ -190,12 +169,7 @@
 
 /// Replicas under a budget that is 0 at any time cannot be moved; batch tasks end by themselves.
 fn check_budgets(members: &Selected, fleet: &dyn Fleet, policy: &Policy) -> Result<(), Refusal> {
-    let mut wanted: BTreeMap<Scope, u32> = BTreeMap::new();
-    for (class, demand) in fleet.demand() {
-        for scope in scopes_of(&class) {
-            *wanted.entry(scope).or_default() += demand.wanted;
-        }
-    }
+    let wanted = wanted_by_scope(&fleet.demand());
     for (machine, view) in members {
         let replicas = view.tasks.iter().filter(|task| task.kind == TaskKind::Replica);
         let classes: BTreeSet<_> = replicas.map(|task| &task.class).collect();
--- a/crates/disruption/src/records.rs
+++ b/crates/disruption/src/records.rs
@@ -160,6 +160,30 @@
     pub waits_for: Vec<String>,
 }
 
+impl Status {
+    /// Of a drain that was just asked for.
+    pub fn asked_for(request: u64, now: Wall) -> Status {
+        Status {
+            phase: Phase::Running,
+            request,
+            created: request,
+            accepted_at: now,
+            refusal: None,
+            notes: Vec::new(),
+            total: 0,
+            emptied: 0,
+            emptying: 0,
+            waits_for: Vec::new(),
+        }
+    }
+
+    /// It is not taken, for this reason.
+    pub fn refuse(&mut self, reason: String) {
+        self.phase = Phase::Refused;
+        self.refusal = Some(reason);
+    }
+}
+
 /// Some machines of a drain, all of one place.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberPart {
--- a/crates/disruption/src/store.rs
+++ b/crates/disruption/src/store.rs
@@ -77,8 +77,11 @@
 
 #[derive(Debug)]
 enum Pending {
-    Load { found: Vec<Entry> },
-    Follow { found: Vec<Entry> },
+    /// All keys, or those of the operators' requests.
+    Read {
+        prefix: &'static str,
+        found: Vec<Entry>,
+    },
     Write(Write),
 }
 
@@ -226,11 +229,11 @@
             return None;
         }
         if !self.loaded || self.reload {
-            return Some(self.scan(now, PREFIX, None, Pending::Load { found: Vec::new() }));
+            return Some(self.read(now, PREFIX, None, Vec::new()));
         }
         if now >= self.next_follow {
             self.next_follow = now + FOLLOW_EVERY;
-            return Some(self.scan(now, REQUESTS, None, Pending::Follow { found: Vec::new() }));
+            return Some(self.read(now, REQUESTS, None, Vec::new()));
         }
         self.write(now)
     }
@@ -241,8 +244,9 @@
         (self.calls, call)
     }
 
-    fn scan(&mut self, now: Time, prefix: &str, after: Option<String>, pending: Pending) -> (u64, Call) {
-        self.send(now, pending, Call::Scan { prefix: prefix.to_string(), after })
+    fn read(&mut self, now: Time, prefix: &'static str, after: Option<String>, found: Vec<Entry>) -> (u64, Call) {
+        let call = Call::Scan { prefix: prefix.to_string(), after };
+        self.send(now, Pending::Read { prefix, found }, call)
     }
 
     fn write(&mut self, now: Time) -> Option<(u64, Call)> {
@@ -277,22 +281,18 @@
     pub fn reply(&mut self, now: Time, id: u64, answer: Answer) -> Option<(u64, Call)> {
         let flight = self.in_flight.take_if(|flight| flight.id == id)?;
         match (flight.pending, answer) {
-            (Pending::Load { mut found }, Answer::Page { entries, more }) => {
+            (Pending::Read { prefix, mut found }, Answer::Page { entries, more }) => {
                 found.extend(entries);
                 let after = found.last().filter(|_| more).map(|entry| entry.key.clone());
                 if after.is_some() {
-                    return Some(self.scan(now, PREFIX, after, Pending::Load { found }));
+                    return Some(self.read(now, prefix, after, found));
                 }
-                self.read_all(found);
-                self.next_follow = now + FOLLOW_EVERY;
-            }
-            (Pending::Follow { mut found }, Answer::Page { entries, more }) => {
-                found.extend(entries);
-                let after = found.last().filter(|_| more).map(|entry| entry.key.clone());
-                if after.is_some() {
-                    return Some(self.scan(now, REQUESTS, after, Pending::Follow { found }));
+                if prefix == PREFIX {
+                    self.read_all(found);
+                    self.next_follow = now + FOLLOW_EVERY;
+                } else {
+                    self.read_requests(&found);
                 }
-                self.read_requests(&found);
             }
             (Pending::Write(write), Answer::Written { revision }) => self.written(write, revision),
             (Pending::Write(_), Answer::Conflict | Answer::Lost) => self.lost(now),
--- a/src/drains.rs
+++ b/src/drains.rs
@@ -14,7 +14,7 @@
 use crate::workers::{Hold, Machine};
 use caperstile_disruption::store::{Answer, Call, Entry, Write};
 use caperstile_disruption::{self as disruption, Coordinator, Policy, Stop};
-use fleet::FleetView;
+use fleet::{FleetView, place_of};
 use log::info;
 pub(crate) use rooms::RoomPlanner;
 use std::collections::BTreeSet;
@@ -165,8 +165,8 @@
     }
 
     fn demand_for_replica(&self, now: Time, hold: &Hold) -> Option<Demand> {
-        let record = &self.jobs.get(hold.task.job)?.record;
         let job = self.jobs.get(hold.task.job)?;
+        let record = &job.record;
         let there = self.parts().by_zone(job);
         let count = |zone: &str| self.names.zone(zone).and_then(|zone| there.get(&zone).copied()).unwrap_or(0);
         let zones: BTreeSet<&String> = self.inventory.flavors().into_iter().flatten().flat_map(|f| &f.zones).collect();
@@ -189,12 +189,7 @@
     /// Whether a machine is a replacement that waits for its turn in a drain.
     pub(crate) fn is_replacement(&self, id: MachineId) -> bool {
         let Some(drains) = &self.drains else { return false };
-        let place = |record: &crate::records::MachineRecord| disruption::Place {
-            kind: record.kind.clone(),
-            zone: record.zone.clone(),
-            spot: record.spot,
-        };
-        self.machines.get(&id).is_some_and(|m| drains.keeps_idle(id, &place(&m.record), m.record.at))
+        self.machines.get(&id).is_some_and(|m| drains.keeps_idle(id, &place_of(&m.record), m.record.at))
     }
 
     /// Empties a machine whose services fit elsewhere through the budgets, where these are in force; false: not at this time.
--- a/src/drains/fleet.rs
+++ b/src/drains/fleet.rs
@@ -3,6 +3,7 @@
 use super::RoomPlanner;
 use crate::gang;
 use crate::intake::{Job, Placed};
+use crate::records::MachineRecord;
 use crate::term::Term;
 use crate::units::{Duration, MachineId, TaskAttempt, Time, Wall};
 use crate::workers::{Hold, Machine, Phase};
@@ -85,6 +86,11 @@
     }
 }
 
+/// Where and how a machine is rented.
+pub(super) fn place_of(record: &MachineRecord) -> Place {
+    Place { kind: record.kind.clone(), zone: record.zone.clone(), spot: record.spot }
+}
+
 fn class_of(job: &Job) -> TaskClass {
     TaskClass { team: job.record.team.clone(), class: job.record.class.clone() }
 }
@@ -120,11 +126,7 @@
         let machine = self.term.machines.get(&id)?;
         let on_machine = machine.holds.iter().filter(|(_, hold)| hold.claimed && hold.occupies());
         Some(MachineView {
-            place: Place {
-                kind: machine.record.kind.clone(),
-                zone: machine.record.zone.clone(),
-                spot: machine.record.spot,
-            },
+            place: place_of(&machine.record),
             rented_at: machine.record.at,
             reachable: self.reachable(machine),
             // One that is out of order keeps the services that run on it, so it does not go by itself.
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -225,6 +225,27 @@
     }
 }
 
+/// A service of three replicas, two in a zone at the most.
+fn spread_service() -> [(&'static str, serde_json::Value); 6] {
+    [
+        ("Shape", json!("standing")),
+        ("Rank", json!("prod")),
+        ("RuntimeS", json!(0)),
+        ("Pieces", json!(3)),
+        ("Spread", json!(true)),
+        ("Cores", json!(1.0)),
+    ]
+}
+
+/// What was accepted has come to its end, or runs in full.
+fn all_ended(sim: &Sim) -> Result<(), TestCaseError> {
+    for (id, job) in sim.jobs.iter().filter(|(_, j)| j.accepted) {
+        let over = matches!(job.told.as_str(), "done" | "aborted");
+        prop_assert!(over || sim.running(id) == 3, "{id} is {} with {} running", job.told, sim.running(id));
+    }
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 150,
@@ -239,8 +260,7 @@
         faults in proptest::collection::vec((0u64..6000, fault()), 10..40),
     ) {
         let mut sim = Sim::new(seed);
-        sim.submit("job-000001", &[("Shape", json!("standing")), ("Rank", json!("prod")), ("RuntimeS", json!(0)),
-            ("Pieces", json!(3)), ("Spread", json!(true)), ("Cores", json!(1.0))]);
+        sim.submit("job-000001", &spread_service());
         let mut at = 8000;
         for (gap, fault) in &faults {
             at = at.max(sim.now) + gap;
@@ -252,10 +272,7 @@
         sim.mend();
         sim.run_until(at + 300_000);
         prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
-        for (id, job) in sim.jobs.iter().filter(|(_, j)| j.accepted) {
-            let over = matches!(job.told.as_str(), "done" | "aborted");
-            prop_assert!(over || sim.running(id) == 3, "{id} is {} with {} running", job.told, sim.running(id));
-        }
+        all_ended(&sim)?;
     }
 
     /// The checker knows nothing of the leader's charges: it counts, on the stand-in workers, replicas that were stopped by command
@@ -268,8 +285,7 @@
         let mut sim = Sim::at(Site { operators: ONE, ..Site::small() }, seed);
         sim.disruption.limits.insert("render".into(), 1);
         for id in ["job-000001", "job-000007"] {
-            sim.submit(id, &[("Shape", json!("standing")), ("Rank", json!("prod")), ("RuntimeS", json!(0)),
-                ("Pieces", json!(3)), ("Spread", json!(true)), ("Cores", json!(1.0))]);
+            sim.submit(id, &spread_service());
         }
         sim.run_until(20_000);
         inject(&mut sim, &Fault::Drain(0, 0));
@@ -286,10 +302,7 @@
         }
         sim.run_until(at + 500_000);
         prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
-        for (id, job) in sim.jobs.iter().filter(|(_, j)| j.accepted) {
-            let over = matches!(job.told.as_str(), "done" | "aborted");
-            prop_assert!(over || sim.running(id) == 3, "{id} is {} with {} running", job.told, sim.running(id));
-        }
+        all_ended(&sim)?;
         for name in (0..4).map(|n| format!("drain-{n}")).filter(|name| sim.state.keys.contains_key(&format!("drain/request/{name}"))) {
             let ended = matches!(sim.drain_phase(&name).as_str(), "done" | "cancelled" | "refused");
             prop_assert!(ended, "{name}: {:?}", sim.drain_status(&name));
