--- /dev/null
+++ b/crates/admission/src/control.rs
@@ -0,0 +1,296 @@
+//! The leader's side: demand and capacity in, numbered tables out.
+
+use crate::backlog::{BacklogMeter, PairBacklog};
+use crate::capacity::{CapacityRegulator, FLOOR, Utilization};
+use crate::demand::{DemandMeter, PairDemand};
+use crate::fair_share::{Claim, max_min};
+use crate::policy::AdmissionPolicy;
+use crate::report::DemandReport;
+use crate::submission::{Pair, Submission};
+use crate::table::{AdmissionTable, DRAW_LENGTH, Decision, Ratio, TableEntry, TableNumber};
+use caperstile_units::{Duration, JobId, Time, Token};
+use roaring::RoaringTreemap;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+
+/// How often a table is made while something is refused.
+pub const PUBLISH_EVERY: Duration = Duration(1_000);
+/// A pair below this ratio is refused; above it the estimate of its demand is no more exact than the difference.
+const WORTH_REFUSING: f64 = 0.9;
+/// A refusal is over once nothing was refused for so long.
+const REFUSAL_OVER: Duration = Duration(10_000);
+/// Users repeat a submission for a minute; accepted jobs are named in the tables for a little longer.
+const REPEATED_FOR: Duration = Duration(65_000);
+/// Accepted jobs that are remembered at the most.
+const MOST_ACCEPTED: usize = 16_384;
+
+/// A pair whose submissions begin or cease to be refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The pair.
+    pub pair: Pair,
+    /// Whether some are refused from now on.
+    pub refused: bool,
+}
+
+/// What a pair asks for and gets, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PairStatus {
+    /// The pair.
+    pub pair: Pair,
+    /// Cost per second that it asks for.
+    pub demanded: f64,
+    /// Cost per second that is admitted.
+    pub admitted: f64,
+    /// How long its jobs are predicted to wait for machines, if there is a backlog.
+    pub predicted_wait: Option<Duration>,
+    /// The share that is admitted.
+    pub ratio: Ratio,
+    /// Since when some are refused.
+    pub refused_since: Option<Time>,
+}
+
+impl fmt::Display for PairStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (pair, share) = (&self.pair, self.ratio.share());
+        write!(f, "pair={pair} ratio={share:.3} demanded={:.2} admitted={:.2}", self.demanded, self.admitted)?;
+        match self.predicted_wait {
+            Some(wait) => write!(f, " predicted_wait_s={:.0}", wait.as_secs()),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Makes the tables of one leader.
+#[derive(Debug)]
+pub struct AdmissionControl {
+    policy: AdmissionPolicy,
+    table: AdmissionTable,
+    regulator: CapacityRegulator,
+    demand: DemandMeter,
+    backlog: BacklogMeter,
+    accepted: VecDeque<(Time, JobId)>,
+    refused_since: BTreeMap<Pair, Refused>,
+    changes: Vec<Change>,
+    published_at: Time,
+    drawn_at: Time,
+}
+
+impl AdmissionControl {
+    /// A leader that has just been elected refuses nothing.
+    pub fn new(token: Token, now: Time, policy: AdmissionPolicy) -> AdmissionControl {
+        AdmissionControl {
+            policy,
+            table: AdmissionTable::open(TableNumber { token, sequence: 0 }, 0),
+            regulator: CapacityRegulator::default(),
+            demand: DemandMeter::default(),
+            backlog: BacklogMeter::default(),
+            accepted: VecDeque::new(),
+            refused_since: BTreeMap::new(),
+            changes: Vec::new(),
+            published_at: now,
+            drawn_at: now,
+        }
+    }
+
+    /// Other settings come into force with the next table.
+    pub fn set_policy(&mut self, policy: AdmissionPolicy) {
+        self.policy = policy;
+    }
+
+    /// The table in force.
+    pub fn table(&self) -> &AdmissionTable {
+        &self.table
+    }
+
+    /// The cost per second that is admitted at the most; `None`: everything.
+    pub fn limit(&self) -> Option<f64> {
+        self.regulator.limit()
+    }
+
+    /// Decides on a submission that has reached the leader, and counts it.
+    pub fn decide(&mut self, now: Time, submission: &Submission, tasks: u32) -> Decision {
+        let pair = Pair::new(submission.team, submission.class);
+        self.demand.asked(now, &pair, 1, tasks);
+        let decision = self.table.decide(submission);
+        if decision == Decision::Admit {
+            self.demand.admitted(now, &pair, tasks);
+        }
+        decision
+    }
+
+    /// Another node refused these.
+    pub fn refused_elsewhere(&mut self, now: Time, report: &DemandReport) {
+        for (pair, refused) in report.pairs() {
+            self.demand.asked(now, pair, refused.jobs, refused.tasks);
+        }
+    }
+
+    /// A job was accepted, durably: a repeat of its submission must not be refused.
+    pub fn accepted(&mut self, now: Time, job: JobId) {
+        self.accepted.push_back((now, job));
+        while self.accepted.len() > MOST_ACCEPTED
+            || self.accepted.front().is_some_and(|(at, _)| now.since(*at) > REPEATED_FOR)
+        {
+            self.accepted.pop_front();
+        }
+    }
+
+    /// Takes a measurement of how busy this node was for the last second, and how long its inputs wait.
+    pub fn observe(&mut self, now: Time, utilization: Utilization, queueing: Duration) {
+        self.demand.decay(now);
+        self.regulator.observe(now, utilization, queueing, self.demand.demanded(), self.demand.admitted_rate());
+    }
+
+    /// A task of this pair was started.
+    pub fn started(&mut self, pair: &Pair) {
+        self.backlog.started(pair);
+    }
+
+    /// Whether it wants to be told what waits, before the next `tick`.
+    pub fn wants_backlog(&self, now: Time) -> bool {
+        now.since(self.published_at) >= PUBLISH_EVERY
+    }
+
+    /// What waits for machines, of all pairs whose jobs end by themselves.
+    pub fn observe_backlog(&mut self, now: Time, waiting: BTreeMap<Pair, PairBacklog>) {
+        self.backlog.observe(now, waiting);
+    }
+
+    /// Lets time pass; a new table when one is due. While nothing is refused there is none.
+    pub fn tick(&mut self, now: Time) -> Option<&AdmissionTable> {
+        if now.since(self.published_at) < PUBLISH_EVERY {
+            return None;
+        }
+        self.published_at = now;
+        let mut entries = self.entries(now);
+        self.note_changes(now, &entries);
+        if entries.is_empty() && self.table.is_open() {
+            return None;
+        }
+        self.serve_the_starved(now, &mut entries);
+        if now.since(self.drawn_at) >= DRAW_LENGTH {
+            self.drawn_at = now;
+            self.table.draw = self.table.draw.wrapping_add(1);
+        }
+        let number = TableNumber { sequence: self.table.number.sequence + 1, ..self.table.number };
+        let accepted: RoaringTreemap = self.accepted.iter().map(|(_, job)| job.0).collect();
+        self.table = AdmissionTable::new(number, self.table.draw, entries, accepted);
+        Some(&self.table)
+    }
+
+    /// Pairs whose refusal began or ceased since this was asked last.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// What each pair asks for and gets.
+    pub fn status(&self, now: Time) -> Vec<PairStatus> {
+        let status = |(pair, demand): (&Pair, &PairDemand)| PairStatus {
+            pair: pair.clone(),
+            demanded: demand.demanded,
+            admitted: demand.admitted,
+            predicted_wait: self.backlog.predicted_wait(now, pair),
+            ratio: self.table.ratio(&pair.team, &pair.class),
+            refused_since: self.refused_since.get(pair).map(|refused| refused.since),
+        };
+        self.demand.pairs().map(status).collect()
+    }
+
+    /// What each pair may ask for: no more than brings its backlog to the longest wait.
+    fn admissible_demand(&self, now: Time, pair: &Pair, demand: &PairDemand) -> f64 {
+        let Some(tasks) = self.backlog.admissible(now, pair).filter(|_| self.policy.bounds_backlog) else {
+            return demand.demanded;
+        };
+        demand.demanded * (tasks / demand.demanded_tasks).min(1.0)
+    }
+
+    /// Divides the limit among teams and their classes; the pairs that get clearly less than they ask for.
+    fn entries(&mut self, now: Time) -> Vec<TableEntry> {
+        if !self.policy.enabled {
+            return Vec::new();
+        }
+        let mut teams: BTreeMap<&str, Vec<PairClaim>> = BTreeMap::new();
+        for (pair, demand) in self.demand.pairs().filter(|(_, demand)| demand.demanded > 0.0) {
+            let claim =
+                PairClaim { pair, asked: demand.demanded, admissible: self.admissible_demand(now, pair, demand) };
+            teams.entry(&pair.team).or_default().push(claim);
+        }
+        let total = |classes: &Vec<PairClaim>| classes.iter().map(|claim| claim.admissible).sum();
+        let claims: Vec<Claim> = teams
+            .iter()
+            .map(|(team, classes)| Claim { weight: self.policy.weight(team), demand: total(classes) })
+            .collect();
+        let limit = self.regulator.limit().unwrap_or(f64::INFINITY);
+        let shares = match limit.is_finite() {
+            true => max_min(limit, &claims),
+            false => claims.iter().map(|claim| claim.demand).collect(),
+        };
+        let mut entries = Vec::new();
+        for (classes, share) in teams.values().zip(shares) {
+            let claims: Vec<Claim> =
+                classes.iter().map(|claim| Claim { weight: 1.0, demand: claim.admissible }).collect();
+            for (claim, share) in classes.iter().zip(max_min(share, &claims)) {
+                if share < WORTH_REFUSING * claim.asked {
+                    entries.push(TableEntry { pair: claim.pair.clone(), ratio: Ratio::of(share / claim.asked) });
+                }
+            }
+        }
+        entries
+    }
+
+    /// Admits pairs in full that have gone without an admitted job for too long: those that wait longest, and no more of them than the
+    /// limit carries until the next table.
+    fn serve_the_starved(&self, now: Time, entries: &mut Vec<TableEntry>) {
+        // Followers refuse most of what a pair asks for, so that it counts as asking all the time while it is refused.
+        let unserved_since = |pair: &Pair| {
+            let refused = self.refused_since.get(pair).map_or(now, |refused| refused.since);
+            let admitted = self.demand.pair(pair).and_then(|demand| demand.admitted_at);
+            admitted.map_or(refused, |admitted| admitted.max(refused))
+        };
+        let mut starved: Vec<(Time, Pair)> = entries
+            .iter()
+            .map(|entry| (unserved_since(&entry.pair), entry.pair.clone()))
+            .filter(|(since, _)| now.since(*since) >= self.policy.max_wait)
+            .collect();
+        starved.sort();
+        let carried = self.regulator.limit().unwrap_or(f64::MAX).max(FLOOR) * PUBLISH_EVERY.as_secs();
+        starved.truncate(carried.ceil() as usize);
+        entries.retain(|entry| !starved.iter().any(|(_, pair)| *pair == entry.pair));
+    }
+
+    /// Notes which pairs are refused. A refusal is over only after some time without: a pair at its limit would else be said to begin and
+    /// cease with every table.
+    fn note_changes(&mut self, now: Time, entries: &[TableEntry]) {
+        for entry in entries {
+            match self.refused_since.get_mut(&entry.pair) {
+                Some(refused) => refused.last = now,
+                None => {
+                    self.refused_since.insert(entry.pair.clone(), Refused { since: now, last: now });
+                    self.changes.push(Change { pair: entry.pair.clone(), refused: true });
+                }
+            }
+        }
+        let over = |refused: &Refused| now.since(refused.last) >= REFUSAL_OVER;
+        let ended: Vec<Pair> =
+            self.refused_since.iter().filter(|(_, refused)| over(refused)).map(|(pair, _)| pair.clone()).collect();
+        for pair in ended {
+            self.refused_since.remove(&pair);
+            self.changes.push(Change { pair, refused: false });
+        }
+    }
+}
+
+/// What one pair asks for, and what it may have of it.
+struct PairClaim<'a> {
+    pair: &'a Pair,
+    asked: f64,
+    admissible: f64,
+}
+
+/// When submissions of a pair were refused, first and last.
+#[derive(Debug, Clone, Copy)]
+struct Refused {
+    since: Time,
+    last: Time,
+}
--- /dev/null
+++ b/crates/admission/src/demand.rs
@@ -0,0 +1,99 @@
+//! How much each pair asks for and gets.
+
+use crate::submission::{Cost, Pair};
+use caperstile_units::{Duration, Time};
+use std::collections::BTreeMap;
+
+/// What a pair did this long ago counts 1/e of what it does now.
+const TIME_CONSTANT: Duration = Duration(5_000);
+/// A pair that has asked for nothing for so long is forgotten.
+const FORGET_AFTER: Duration = Duration(120_000);
+/// Pairs that are kept apart; what comes beyond shares the entry of its team.
+const MOST_PAIRS: usize = 4_096;
+/// The class under which a team's other classes are counted once there are too many pairs.
+const OTHER_CLASSES: &str = "";
+
+/// What one pair asked for and got.
+#[derive(Debug, Clone)]
+pub(crate) struct PairDemand {
+    /// Cost per second that it asks for.
+    pub(crate) demanded: f64,
+    /// Tasks per second that it asks for.
+    pub(crate) demanded_tasks: f64,
+    /// Cost per second that was admitted.
+    pub(crate) admitted: f64,
+    /// When one of its submissions was admitted last.
+    pub(crate) admitted_at: Option<Time>,
+    asked_at: Time,
+}
+
+/// Meters the demand of all pairs.
+///
+/// The leader sees what followers have not refused, and they report what they have. Memory is bounded whatever names are invented.
+#[derive(Debug, Default)]
+pub struct DemandMeter {
+    pairs: BTreeMap<Pair, PairDemand>,
+    decayed_at: Time,
+}
+
+impl DemandMeter {
+    fn key(&self, pair: &Pair) -> Pair {
+        if self.pairs.contains_key(pair) || self.pairs.len() < MOST_PAIRS {
+            pair.clone()
+        } else {
+            Pair::new(&pair.team, OTHER_CLASSES)
+        }
+    }
+
+    fn entry(&mut self, now: Time, pair: &Pair) -> &mut PairDemand {
+        let fresh = PairDemand { demanded: 0.0, demanded_tasks: 0.0, admitted: 0.0, admitted_at: None, asked_at: now };
+        let key = self.key(pair);
+        self.pairs.entry(key).or_insert(fresh)
+    }
+
+    /// Submissions of this pair arrived here, or were refused by another node: so many jobs, with so many tasks all together.
+    pub fn asked(&mut self, now: Time, pair: &Pair, jobs: u32, tasks: u32) {
+        let entry = self.entry(now, pair);
+        entry.asked_at = now;
+        entry.demanded += Cost::of_jobs(jobs, tasks).0 / TIME_CONSTANT.as_secs();
+        entry.demanded_tasks += f64::from(tasks) / TIME_CONSTANT.as_secs();
+    }
+
+    /// A submission of this pair was admitted.
+    pub fn admitted(&mut self, now: Time, pair: &Pair, tasks: u32) {
+        let entry = self.entry(now, pair);
+        entry.admitted_at = Some(now);
+        entry.admitted += Cost::of_jobs(1, tasks).0 / TIME_CONSTANT.as_secs();
+    }
+
+    /// Lets time pass.
+    pub fn decay(&mut self, now: Time) {
+        let passed = now.since(self.decayed_at);
+        self.decayed_at = now;
+        let kept = (-passed.as_secs() / TIME_CONSTANT.as_secs()).exp();
+        for pair in self.pairs.values_mut() {
+            pair.demanded *= kept;
+            pair.demanded_tasks *= kept;
+            pair.admitted *= kept;
+        }
+        self.pairs.retain(|_, pair| now.since(pair.asked_at) < FORGET_AFTER);
+    }
+
+    /// Cost per second that all pairs ask for.
+    pub fn demanded(&self) -> f64 {
+        self.pairs.values().map(|pair| pair.demanded).sum()
+    }
+
+    /// Cost per second that was admitted of all pairs.
+    pub fn admitted_rate(&self) -> f64 {
+        self.pairs.values().map(|pair| pair.admitted).sum()
+    }
+
+    pub(crate) fn pairs(&self) -> impl Iterator<Item = (&Pair, &PairDemand)> {
+        self.pairs.iter()
+    }
+
+    pub(crate) fn pair(&self, pair: &Pair) -> Option<&PairDemand> {
+        self.pairs.get(pair)
+    }
+}
--- /dev/null
+++ b/crates/admission/src/report.rs
@@ -0,0 +1,97 @@
+//! What a follower tells the leader of submissions that it refused, so that the leader knows the whole demand.
+
+use crate::codec::{self, DecodeError};
+use crate::submission::Pair;
+use std::collections::BTreeMap;
+use zerocopy::byteorder::little_endian::{U16, U32};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+/// Layout of an encoded report.
+const LAYOUT: u16 = 1;
+/// Pairs of one report; what is refused of others is not told.
+const MOST_PAIRS: usize = 1_024;
+
+/// What was refused of one pair.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RefusedDemand {
+    /// Submissions.
+    pub jobs: u32,
+    /// Their tasks, all together.
+    pub tasks: u32,
+}
+
+/// What one node refused since its last report.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct DemandReport {
+    pairs: BTreeMap<Pair, RefusedDemand>,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct Header {
+    layout: U16,
+    entries: U16,
+}
+
+#[derive(FromBytes, IntoBytes, Immutable, KnownLayout, Unaligned)]
+#[repr(C)]
+struct EntryHeader {
+    jobs: U32,
+    tasks: U32,
+    team_length: u8,
+    class_length: u8,
+}
+
+impl DemandReport {
+    /// A submission of this pair was refused.
+    pub fn refused(&mut self, team: &str, class: &str, tasks: u32) {
+        let pair = Pair::new(team, class);
+        if self.pairs.len() >= MOST_PAIRS && !self.pairs.contains_key(&pair) {
+            return;
+        }
+        let refused = self.pairs.entry(pair).or_default();
+        refused.jobs = refused.jobs.saturating_add(1);
+        refused.tasks = refused.tasks.saturating_add(tasks);
+    }
+
+    /// Whether nothing was refused.
+    pub fn is_empty(&self) -> bool {
+        self.pairs.is_empty()
+    }
+
+    /// What was refused, by pair.
+    pub fn pairs(&self) -> impl Iterator<Item = (&Pair, &RefusedDemand)> {
+        self.pairs.iter()
+    }
+
+    /// The bytes of the report; pairs that do not fit are left out.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = vec![0; size_of::<Header>()];
+        let mut entries = 0u16;
+        for (pair, refused) in &self.pairs {
+            let Some((team_length, class_length)) = codec::name_lengths(&pair.team, &pair.class) else { continue };
+            let header =
+                EntryHeader { jobs: U32::new(refused.jobs), tasks: U32::new(refused.tasks), team_length, class_length };
+            entries += u16::from(codec::push_entry(&mut bytes, header.as_bytes(), &pair.team, &pair.class));
+        }
+        let header = Header { layout: U16::new(LAYOUT), entries: U16::new(entries) };
+        bytes[..size_of::<Header>()].copy_from_slice(header.as_bytes());
+        bytes
+    }
+
+    /// Reads the bytes of a report.
+    pub fn decode(bytes: &[u8]) -> Result<DemandReport, DecodeError> {
+        let (header, mut rest) = Header::read_from_prefix(bytes).map_err(|_| DecodeError::Truncated)?;
+        if header.layout.get() != LAYOUT {
+            return Err(DecodeError::Layout(header.layout.get()));
+        }
+        let mut report = DemandReport::default();
+        for _ in 0..header.entries.get() {
+            let (entry, after) = EntryHeader::read_from_prefix(rest).map_err(|_| DecodeError::Truncated)?;
+            let (pair, after) = codec::take_pair(after, entry.team_length, entry.class_length)?;
+            report.pairs.insert(pair, RefusedDemand { jobs: entry.jobs.get(), tasks: entry.tasks.get() });
+            rest = after;
+        }
+        Ok(report)
+    }
+}
--- /dev/null
+++ b/crates/admission/src/view.rs
@@ -0,0 +1,38 @@
+//! The table that one node decides by.
+
+use crate::submission::Submission;
+use crate::table::{AdmissionTable, Decision};
+use caperstile_units::{Duration, Time, Token};
+
+/// A table is not used for longer than this after it came: a node that hears nothing refuses nothing.
+const VALIDITY: Duration = Duration(5_000);
+
+/// The newest table that a node has received.
+#[derive(Debug, Default)]
+pub struct TableView {
+    newest: Option<(AdmissionTable, Time)>,
+}
+
+impl TableView {
+    /// Takes a table unless a newer one has come; whether it was taken.
+    ///
+    /// The same table again keeps its time: a late copy must not make it valid for longer.
+    pub fn receive(&mut self, now: Time, table: AdmissionTable) -> bool {
+        if self.newest.as_ref().is_some_and(|(known, _)| table.number <= known.number) {
+            return false;
+        }
+        self.newest = Some((table, now));
+        true
+    }
+
+    /// The table in force under the leader with this token; `None` if it is another leader's or too old.
+    pub fn in_force(&self, now: Time, leader: Token) -> Option<&AdmissionTable> {
+        let (table, received) = self.newest.as_ref()?;
+        (table.number.token == leader && now.since(*received) < VALIDITY).then_some(table)
+    }
+
+    /// Decides on a submission under the leader with this token; without a table in force nothing is refused.
+    pub fn decide(&self, now: Time, leader: Token, submission: &Submission) -> Decision {
+        self.in_force(now, leader).map_or(Decision::Admit, |table| table.decide(submission))
+    }
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -8,10 +8,13 @@
 use crate::peers::{Answer, UserCall};
 use crate::settings::{Seed, Settings};
 use crate::store::{Reply, StateCall};
-use crate::term::{Over, Term};
+use crate::term::{Over, Term, too_many};
 use crate::units::{Duration, MachineId, Time, Token, Wall};
 use crate::upgrade::{self, Format, Upgrade};
-use crate::wire::{Commands, Report};
+use crate::wire::{Commands, Report, SubmissionHead};
+use caperstile_admission::{
+    AdmissionPolicy, AdmissionTable, Decision, DemandReport, Submission, TableView, Utilization,
+};
 use caperstile_disruption::Policy;
 use rand::{SeedableRng, rngs::SmallRng};
 use serde_json::json;
@@ -46,6 +49,8 @@
     Tick,
     /// So long inputs wait before they are taken; said when it changes.
     Behind(Duration),
+    /// The input before this one took so long; said of slow ones only.
+    Spent(Duration),
     /// A user asks, here or through another node.
     User(Origin, UserCall),
     /// A worker reports.
@@ -66,6 +71,14 @@
     Leads(String, Token),
     /// The operators have changed the disruption budgets.
     Policy(Box<Policy>),
+    /// The operators have changed the settings of admission.
+    AdmissionPolicy(Box<AdmissionPolicy>),
+    /// How busy this node was in the last second.
+    Utilization(Utilization),
+    /// A leader has published an admission table.
+    AdmissionTable(Box<AdmissionTable>),
+    /// Another node has refused these submissions by this one's tables.
+    RefusedElsewhere(Box<DemandReport>),
 }
 
 /// What a node wants done.
@@ -94,6 +107,10 @@
     Forward(String, u64, UserCall),
     /// Tell the other nodes that this one leads, under this token.
     Announce(Token),
+    /// Send the nodes that take admission tables this one.
+    Publish(Box<AdmissionTable>),
+    /// Tell the leader what this node refused by its tables.
+    ReportRefused(String, Box<DemandReport>),
 }
 
 #[derive(Debug)]
@@ -122,6 +139,8 @@
 const NO_STATE: Duration = Duration(1500);
 /// How often a leader tells the other nodes so.
 const ANNOUNCE_EVERY: Duration = Duration(1000);
+/// How often a follower tells the leader what it refused.
+const REPORT_REFUSED_EVERY: Duration = Duration(1000);
 /// A node that led so lately may still answer the workers of a zone that is cut off.
 const LED_LATELY: Duration = Duration(90_000);
 /// A node makes room for others no more often: if no node reaches the workers, they are gone.
@@ -136,6 +155,11 @@
     parked: VecDeque<Parked>,
     forwards: BTreeMap<u64, Forward>,
     forward_ids: u64,
+    /// What the leader refuses, as far as this node was told.
+    admission: TableView,
+    /// What this node refused since it told the leader last, and when that was.
+    refused: DemandReport,
+    refused_told: Time,
     links: HashSet<String>,
     ready: bool,
     reachable: Time,
@@ -165,6 +189,9 @@
             parked: VecDeque::new(),
             forwards: BTreeMap::new(),
             forward_ids: 0,
+            admission: TableView::default(),
+            refused: DemandReport::default(),
+            refused_told: Time(0),
             links: HashSet::new(),
             ready: false,
             reachable: Time(0),
@@ -189,6 +216,11 @@
                     term.behind = by;
                 }
             }
+            Input::Spent(took) => {
+                if let Some(term) = &mut self.term {
+                    term.spent(took);
+                }
+            }
             Input::User(origin, call) => self.user(now, wall, origin, call, now + PATIENCE, &mut out),
             Input::Report(origin, report) => self.report(now, wall, origin, &report, &mut out),
             Input::Up(origin) => out.push(Effect::Answer(origin, self.up(now))),
@@ -218,6 +250,25 @@
                 }
                 self.settings.policy = *policy;
             }
+            Input::AdmissionPolicy(policy) => {
+                if let Some(term) = &mut self.term {
+                    term.admission.set_policy((*policy).clone());
+                }
+                self.settings.admission = *policy;
+            }
+            Input::Utilization(utilization) => {
+                if let Some(term) = &mut self.term {
+                    term.admission.observe(now, utilization, term.behind);
+                }
+            }
+            Input::RefusedElsewhere(report) => {
+                if let Some(term) = &mut self.term {
+                    term.admission.refused_elsewhere(now, &report);
+                }
+            }
+            Input::AdmissionTable(table) => {
+                self.admission.receive(now, *table);
+            }
             Input::Cloud(token, id, reply) => {
                 self.with_term(now, token, &mut out, |term, certain, out| {
                     term.cloud(now, wall, certain, id, &reply, out)
@@ -352,6 +403,12 @@
             self.announced = now;
             out.push(Effect::Announce(term.token()));
         }
+        if certain
+            && let Some(table) =
+                self.term.as_mut().filter(|term| term.loaded()).and_then(|term| term.admission_table(now))
+        {
+            out.push(Effect::Publish(Box::new(table.clone())));
+        }
         if self.term.as_ref().is_some_and(Term::loaded) && !self.parked.is_empty() {
             self.unpark(now, wall, out);
         }
@@ -366,6 +423,7 @@
                 out.push(Effect::Answer(f.origin, unavailable("the leader does not answer")));
             }
         }
+        self.report_refused(now, out);
         // Cut off from a leader that others can reach. In an outage of the state service nothing
         // is known of the leader, and being marked healthy again is slow: the node stays up.
         let linked = match self.leadership.leader() {
@@ -377,6 +435,20 @@
         }
     }
 
+    /// Tells the leader from time to time what was refused by its tables.
+    fn report_refused(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.refused.is_empty() || now.since(self.refused_told) < REPORT_REFUSED_EVERY {
+            return;
+        }
+        self.refused_told = now;
+        let report = std::mem::take(&mut self.refused);
+        // Only a leader whose table this node has is known to read it.
+        let table = self.admission.in_force(now, self.leadership.heard());
+        if let Some(leader) = self.leadership.leader().filter(|_| table.is_some() && self.term.is_none()) {
+            out.push(Effect::ReportRefused(leader.to_string(), Box::new(report)));
+        }
+    }
+
     fn state_answers(&self, now: Time) -> bool {
         self.leadership.answered.is_some_and(|at| now.since(at) < NO_STATE)
     }
@@ -406,6 +478,10 @@
             && self.links.contains(&leader)
             && matches!(origin, Origin::Http(_))
         {
+            if let Decision::Refuse { retry_after_s } = self.decide(now, &call) {
+                out.push(Effect::Answer(origin, too_many(retry_after_s)));
+                return;
+            }
             self.forward_ids += 1;
             let id = self.forward_ids;
             out.push(Effect::Forward(leader.clone(), id, call.clone()));
@@ -419,6 +495,21 @@
         }
     }
 
+    /// Decides by the leader's admission table whether a request is worth forwarding. What cannot be read is the leader's to refuse.
+    fn decide(&mut self, now: Time, call: &UserCall) -> Decision {
+        let UserCall::Submit(body) = call else { return Decision::Admit };
+        let Some(table) = self.admission.in_force(now, self.leadership.heard()).filter(|table| !table.is_open()) else {
+            return Decision::Admit;
+        };
+        let Ok(head) = serde_json::from_slice::<SubmissionHead>(body) else { return Decision::Admit };
+        let Ok(job) = head.job.parse() else { return Decision::Admit };
+        let decision = table.decide(&Submission { job, team: &head.team, class: &head.class });
+        if decision != Decision::Admit {
+            self.refused.refused(&head.team, &head.class, head.tasks);
+        }
+        decision
+    }
+
     /// Requests that waited for a leader try again.
     fn unpark(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
         for p in std::mem::take(&mut self.parked) {
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -149,6 +149,11 @@
         if self.token.is_some() { Some(&self.me.node) } else { self.known.as_deref() }
     }
 
+    /// The highest token of another node that was heard of.
+    pub fn heard(&self) -> Token {
+        self.heard
+    }
+
     /// Look at the key soon, because the leader's link broke.
     pub fn hurry(&mut self, now: Time) {
         if self.token.is_none() {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -3,6 +3,7 @@
 //! A frame is a fixed header and a body of the length that the header tells. Followers send users'
 //! requests, the leader sends the answers back under the same number, in any order.
 
+use std::sync::Arc;
 use zerocopy::byteorder::little_endian::{U16, U32, U64};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
@@ -25,6 +26,11 @@
     Answer = 4,
     /// The sender leads; `id` is its token.
     Leads = 5,
+    /// An admission table. Sent only over links that began with a `hello`: an earlier version would close the link on a kind that it does
+    /// not know.
+    Admission = 6,
+    /// What the sender refused by admission tables. Sent only to a node that has sent one.
+    Refused = 7,
 }
 
 /// The fixed part of a frame, as it lies on the wire.
@@ -81,6 +87,10 @@
     Answer(u64, Answer),
     /// The node of this name leads, under this token.
     Leads(u64, String),
+    /// An admission table, encoded.
+    Admission(Arc<[u8]>),
+    /// What the sender refused by admission tables, encoded.
+    Refused(Vec<u8>),
 }
 
 /// A frame that does not have the layout.
@@ -88,7 +98,22 @@
 #[error("malformed frame from a peer")]
 pub struct BadFrame;
 
+/// The token of no leader.
+const NO_TOKEN: u64 = 0;
+
 impl Frame {
+    /// What a node sends first on a link that it opens, to say that it takes admission tables.
+    ///
+    /// It has the form of a leader's announcement under a token that no leader has, which earlier versions read and ignore.
+    pub fn hello(node: &str) -> Frame {
+        Frame::Leads(NO_TOKEN, node.to_string())
+    }
+
+    /// Whether it is a `hello`.
+    pub fn is_hello(&self) -> bool {
+        matches!(self, Frame::Leads(NO_TOKEN, _))
+    }
+
     /// The bytes on the wire.
     pub fn encode(&self) -> Vec<u8> {
         let (kind, id, status, retry_after, body): (Kind, u64, u16, u16, &[u8]) = match self {
@@ -96,6 +121,8 @@
             Frame::Request(id, UserCall::Get(name)) => (Kind::Get, *id, 0, 0, name.as_bytes()),
             Frame::Request(id, UserCall::Cancel(name)) => (Kind::Cancel, *id, 0, 0, name.as_bytes()),
             Frame::Leads(token, node) => (Kind::Leads, *token, 0, 0, node.as_bytes()),
+            Frame::Refused(report) => (Kind::Refused, 0, 0, 0, report),
+            Frame::Admission(table) => (Kind::Admission, 0, 0, 0, table),
             Frame::Answer(id, a) => (Kind::Answer, *id, a.status, a.retry_after, a.body.as_bytes()),
         };
         let header = Header {
@@ -131,6 +158,8 @@
             k if k == Kind::Get as u8 => Frame::Request(id, UserCall::Get(text(body)?)),
             k if k == Kind::Cancel as u8 => Frame::Request(id, UserCall::Cancel(text(body)?)),
             k if k == Kind::Leads as u8 => Frame::Leads(id, text(body)?),
+            k if k == Kind::Refused as u8 => Frame::Refused(body),
+            k if k == Kind::Admission as u8 => Frame::Admission(body.into()),
             k if k == Kind::Answer as u8 => Frame::Answer(
                 id,
                 Answer { status: header.status.get(), retry_after: header.retry_after.get(), body: text(body)? },
--- a/src/records.rs
+++ b/src/records.rs
@@ -336,19 +336,24 @@
         let Some(stamp) = self.stamp else {
             return self.call(now, Purpose::Settle, StateCall::Get(MANIFEST.into()), out);
         };
-        match self.snapshot.as_ref().map(|s| s.steps.front().cloned()) {
-            // Commits go first: three changes stay free for them.
-            Some(Some(step)) if self.budget >= (step.len() + 3).min(limit as usize) as f64 => {
-                self.budget -= step.len() as f64;
-                let mut txn = self.txn(step);
-                if writes_manifest(&txn.changes) {
-                    txn.conditions.push(condition(MANIFEST, stamp));
-                }
-                self.call(now, Purpose::Snapshot, StateCall::Txn(txn), out);
-            }
-            Some(None) => self.snapshot = None,
-            _ => {}
+        let Some(snapshot) = &self.snapshot else { return };
+        let Some(step) = snapshot.steps.front() else {
+            self.snapshot = None;
+            return;
+        };
+        // Commits go first: three changes stay free for them.
+        if self.budget < (step.len() + 3).min(limit as usize) as f64 {
+            return;
+        }
+        // Copied only when it is sent. This is called with every report and request: copying a step of up to 64 KiB each time while
+        // it waited for the budget was a fifth of a leader's processor time.
+        let step = step.clone();
+        self.budget -= step.len() as f64;
+        let mut txn = self.txn(step);
+        if writes_manifest(&txn.changes) {
+            txn.conditions.push(condition(MANIFEST, stamp));
         }
+        self.call(now, Purpose::Snapshot, StateCall::Txn(txn), out);
     }
 
     fn txn(&self, changes: Vec<Change>) -> Txn {
--- /dev/null
+++ b/src/runtime/inbox.rs
@@ -0,0 +1,73 @@
+//! What waits for the core, by class.
+
+use super::{Message, http};
+use crate::controller::Input;
+use crate::peers::UserCall;
+use crate::units::Time;
+use caperstile_admission::{Popped, RequestClass, RequestQueue, Shed};
+use tokio::sync::mpsc;
+
+/// What comes next.
+pub enum Next {
+    /// To be fed to the core.
+    Serve(Message),
+    /// To be refused at once.
+    Refuse(Message, Shed),
+}
+
+/// The class that a message waits in.
+pub fn class_of(message: &Message) -> RequestClass {
+    let of_call = |call: &UserCall| match call {
+        UserCall::Submit(_) => RequestClass::Submission,
+        UserCall::Get(_) => RequestClass::Question,
+        UserCall::Cancel(_) => RequestClass::Cancellation,
+    };
+    match message {
+        Message::Request(http::Asked::User(call), _) | Message::Input(Input::User(_, call)) => of_call(call),
+        Message::Request(http::Asked::Report(_) | http::Asked::Up, _) => RequestClass::Report,
+        Message::Input(_) | Message::Linked(..) | Message::TakesTables(_) | Message::Unlinked(_) => {
+            RequestClass::Internal
+        }
+    }
+}
+
+/// Whether whoever asked has closed the connection.
+fn hung_up(message: &Message) -> bool {
+    matches!(message, Message::Request(_, to) if to.is_closed())
+}
+
+/// The channel that connections send to, and what was taken from it but not served yet.
+pub struct Inbox {
+    channel: mpsc::Receiver<Message>,
+    queue: RequestQueue<Message>,
+}
+
+impl Inbox {
+    /// An inbox that holds so many requests of each class.
+    pub fn new(channel: mpsc::Receiver<Message>, capacity: usize) -> Inbox {
+        Inbox { channel, queue: RequestQueue::new(capacity) }
+    }
+
+    /// The next message; waits for one if there is none. `None` once nobody can send any more.
+    pub async fn next(&mut self, now: Time) -> Option<Next> {
+        while let Ok(message) = self.channel.try_recv() {
+            if let Some(refused) = self.enter(now, message) {
+                return Some(refused);
+            }
+        }
+        if self.queue.is_empty() {
+            return self.channel.recv().await.map(Next::Serve);
+        }
+        self.queue.pop(now).map(|popped| match popped {
+            Popped::Serve(message) if hung_up(&message) => Next::Refuse(message, Shed::Abandoned),
+            Popped::Serve(message) => Next::Serve(message),
+            Popped::Shed(message, why) => Next::Refuse(message, why),
+        })
+    }
+
+    fn enter(&mut self, now: Time, message: Message) -> Option<Next> {
+        let class = class_of(&message);
+        let refused = self.queue.push(now, class, message).err()?;
+        Some(Next::Refuse(refused, Shed::Overload))
+    }
+}
--- a/src/runtime/links.rs
+++ b/src/runtime/links.rs
@@ -5,6 +5,8 @@
 use crate::peers::{Frame, HEADER_BYTES};
 use crate::settings::Seed;
 use crate::units::Token;
+use caperstile_admission::{AdmissionTable, DecodeError, DemandReport};
+use log::debug;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
@@ -59,14 +61,14 @@
     stream: TcpStream,
     queue: &mut mpsc::Receiver<Frame>,
     tell: &mpsc::Sender<Message>,
-    wrap: impl Fn(Frame) -> Option<Input>,
+    wrap: impl Fn(Frame) -> Option<Message>,
 ) {
     let (from, mut to) = stream.into_split();
     let mut from = BufReader::new(from);
     let reader = async {
         while let Some(frame) = read(&mut from).await {
-            if let Some(input) = wrap(frame)
-                && tell.send(Message::Input(input)).await.is_err()
+            if let Some(message) = wrap(frame)
+                && tell.send(message).await.is_err()
             {
                 return;
             }
@@ -91,29 +93,53 @@
     if tell.send(Message::Linked(link, answers)).await.is_err() {
         return;
     }
-    let request = |frame| match frame {
-        Frame::Request(id, call) => Some(Input::User(Origin::Peer(link, id), call)),
-        Frame::Leads(token, node) => Some(Input::Leads(node, Token(token))),
-        Frame::Answer(..) => None,
+    let request = |frame: Frame| match frame {
+        hello if hello.is_hello() => Some(Message::TakesTables(link)),
+        Frame::Request(id, call) => Some(Message::Input(Input::User(Origin::Peer(link, id), call))),
+        Frame::Leads(token, node) => Some(Message::Input(Input::Leads(node, Token(token)))),
+        Frame::Refused(bytes) => demand_report(&bytes),
+        Frame::Answer(..) | Frame::Admission(_) => None,
     };
     carry(stream, &mut queue, &tell, request).await;
     let _ = tell.send(Message::Unlinked(link)).await;
 }
 
+/// The admission table that a frame carries; `None` for one that cannot be read, as of a later version.
+fn table(bytes: &[u8]) -> Option<Message> {
+    let table = readable(AdmissionTable::decode(bytes))?;
+    Some(Message::Input(Input::AdmissionTable(Box::new(table))))
+}
+
+/// The report of refused submissions that a frame carries.
+fn demand_report(bytes: &[u8]) -> Option<Message> {
+    let report = readable(DemandReport::decode(bytes))?;
+    Some(Message::Input(Input::RefusedElsewhere(Box::new(report))))
+}
+
+fn readable<T>(decoded: Result<T, DecodeError>) -> Option<T> {
+    decoded.inspect_err(|e| debug!("passed over: {e}")).ok()
+}
+
 /// Keeps a link to another node; frames sent while it is down are lost.
-pub fn connect(seed: &Seed, tell: mpsc::Sender<Message>) -> mpsc::Sender<Frame> {
+pub fn connect(me: &str, seed: &Seed, tell: mpsc::Sender<Message>) -> mpsc::Sender<Frame> {
     let (frames, mut queue) = mpsc::channel::<Frame>(QUEUE);
-    let (node, address) = (seed.node.clone(), seed.address);
+    let (me, node, address) = (me.to_string(), seed.node.clone(), seed.address);
+    let greet = frames.downgrade();
     tokio::spawn(async move {
         loop {
             let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
             if let Ok(Ok(stream)) = connected {
                 let _ = stream.set_nodelay(true);
                 while queue.try_recv().is_ok() {}
+                if let Some(frames) = greet.upgrade() {
+                    // The queue was emptied just now, so that there is room.
+                    let _ = frames.try_send(Frame::hello(&me));
+                }
                 let _ = tell.send(Message::Input(Input::Link(node.clone(), true))).await;
                 let answer = |frame| match frame {
-                    Frame::Answer(id, answer) => Some(Input::Forwarded(id, answer)),
-                    Frame::Request(..) | Frame::Leads(..) => None,
+                    Frame::Answer(id, answer) => Some(Message::Input(Input::Forwarded(id, answer))),
+                    Frame::Admission(bytes) => table(&bytes),
+                    Frame::Request(..) | Frame::Leads(..) | Frame::Refused(_) => None,
                 };
                 carry(stream, &mut queue, &tell, answer).await;
                 let _ = tell.send(Message::Input(Input::Link(node.clone(), false))).await;
--- a/src/runtime/load.rs
+++ b/src/runtime/load.rs
@@ -2,6 +2,7 @@
 
 use crate::controller::{Effect, Input};
 use crate::units::{Duration as Milliseconds, Time};
+use caperstile_admission::Utilization;
 use log::{debug, warn};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -53,6 +54,25 @@
     }
 }
 
+/// Least and most of several measurements in percent.
+#[derive(Debug, Default)]
+struct BusyRange(Option<(u32, u32)>);
+
+impl BusyRange {
+    fn add(&mut self, utilization: Utilization) {
+        let percent = (utilization.0 * 100.0) as u32;
+        let (least, most) = self.0.unwrap_or((percent, percent));
+        self.0 = Some((least.min(percent), most.max(percent)));
+    }
+}
+
+impl std::fmt::Display for BusyRange {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (least, most) = self.0.unwrap_or_default();
+        write!(f, "{least}-{most}%")
+    }
+}
+
 /// What a node took and did since it said so last.
 #[derive(Debug)]
 pub struct Load {
@@ -66,6 +86,92 @@
     answers: u32,
     calls: u32,
     commands: u32,
+    /// Utilization in percent, second by second: its least and its most.
+    busy: BusyRange,
+    /// Time that the core took over inputs of each kind, in microseconds.
+    core: [u64; 4],
+}
+
+/// Kinds of inputs whose share of the core's time is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InputKind {
+    /// Time, and what is about the node itself.
+    Ticks,
+    /// Workers' reports and answers.
+    Reports,
+    /// Users' requests.
+    Users,
+    /// Everything else.
+    Answers,
+}
+
+impl InputKind {
+    const ALL: [InputKind; 4] = [InputKind::Ticks, InputKind::Reports, InputKind::Users, InputKind::Answers];
+
+    /// The kind of an input.
+    pub fn of(input: &Input) -> InputKind {
+        match input {
+            Input::Tick | Input::Behind(_) | Input::Spent(_) | Input::Utilization(_) => InputKind::Ticks,
+            Input::Report(..) | Input::Command(..) => InputKind::Reports,
+            Input::User(..) => InputKind::Users,
+            _ => InputKind::Answers,
+        }
+    }
+}
+
+/// Measures for how much of the time the thread has nothing to do.
+#[derive(Debug, Clone)]
+pub struct IdleMeter {
+    start: Instant,
+    counters: Arc<IdleCounters>,
+}
+
+#[derive(Debug, Default)]
+struct IdleCounters {
+    /// When the thread was parked last, in microseconds.
+    parked_at: AtomicU64,
+    /// For how long it was parked, all together.
+    idle: AtomicU64,
+    /// The last sample: when it was taken, and `idle` then.
+    sampled_at: AtomicU64,
+    sampled_idle: AtomicU64,
+}
+
+/// How often the utilization is told.
+const SAMPLE_EVERY_US: u64 = 1_000_000;
+
+impl IdleMeter {
+    /// A meter that has measured nothing yet.
+    pub fn new() -> IdleMeter {
+        IdleMeter { start: Instant::now(), counters: Arc::default() }
+    }
+
+    fn elapsed(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+
+    /// The thread is about to wait.
+    pub fn park(&self) {
+        self.counters.parked_at.store(self.elapsed(), Ordering::Relaxed);
+    }
+
+    /// The thread goes on.
+    pub fn unpark(&self) {
+        let parked_at = self.counters.parked_at.load(Ordering::Relaxed);
+        self.counters.idle.fetch_add(self.elapsed().saturating_sub(parked_at), Ordering::Relaxed);
+    }
+
+    /// The utilization since the last sample, once a second.
+    pub fn sample(&self) -> Option<Utilization> {
+        let (now, idle) = (self.elapsed(), self.counters.idle.load(Ordering::Relaxed));
+        let passed = now.saturating_sub(self.counters.sampled_at.load(Ordering::Relaxed));
+        if passed < SAMPLE_EVERY_US {
+            return None;
+        }
+        self.counters.sampled_at.store(now, Ordering::Relaxed);
+        let idle = idle - self.counters.sampled_idle.swap(idle, Ordering::Relaxed);
+        Some(Utilization(1.0 - (idle as f64 / passed as f64).min(1.0)))
+    }
 }
 
 impl Load {
@@ -82,6 +188,8 @@
             answers: 0,
             calls: 0,
             commands: 0,
+            busy: BusyRange::default(),
+            core: [0; 4],
         }
     }
 
@@ -90,6 +198,7 @@
         match input {
             Input::Tick => self.tick(now),
             Input::Behind(by) => self.behind = self.behind.max(*by),
+            Input::Utilization(utilization) => self.busy.add(*utilization),
             Input::Report(..) => self.reports += 1,
             Input::User(..) => self.users += 1,
             Input::State(..) | Input::Cloud(..) | Input::Command(..) | Input::Forwarded(..) => self.answers += 1,
@@ -97,12 +206,17 @@
         }
     }
 
+    /// Counts the time that the core took over an input of this kind.
+    pub fn spent(&mut self, kind: InputKind, took: std::time::Duration) {
+        self.core[kind as usize] += took.as_micros() as u64;
+    }
+
     /// Counts an effect.
     pub fn does(&mut self, effect: &Effect) {
         match effect {
             Effect::Command { .. } => self.commands += 1,
             Effect::State(..) | Effect::Cloud(..) | Effect::Forward(..) => self.calls += 1,
-            Effect::Answer(..) | Effect::Announce(_) => {}
+            Effect::Answer(..) | Effect::Announce(_) | Effect::Publish(_) | Effect::ReportRefused(..) => {}
         }
     }
 
@@ -115,9 +229,19 @@
             return;
         }
         let seconds = now.since(self.said).as_secs();
+        let core: Vec<String> =
+            InputKind::ALL.iter().map(|kind| format!("{kind:?}:{}", self.core[*kind as usize] / 1000)).collect();
         let told = format!(
-            "load seconds={seconds} late_ms={} behind_ms={} reports={} users={} answers={} calls={} commands={}",
-            self.late.0, self.behind.0, self.reports, self.users, self.answers, self.calls, self.commands
+            "load seconds={seconds} late_ms={} behind_ms={} busy={} reports={} users={} answers={} calls={} commands={} core_ms={}",
+            self.late.0,
+            self.behind.0,
+            self.busy,
+            self.reports,
+            self.users,
+            self.answers,
+            self.calls,
+            self.commands,
+            core.join(",")
         );
         if self.late.max(self.behind) >= BEHIND {
             warn!("behind: {told}");
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,19 +2,23 @@
 
 mod clients;
 mod http;
+mod inbox;
 mod links;
 mod load;
+mod outputs;
 mod reload;
 
 pub(crate) use clients::StateClient;
 
-use crate::controller::{Controller, Effect, Input, Origin};
+use crate::controller::{Controller, Input, Origin};
 use crate::peers::{Answer, Frame};
 use crate::settings::Settings;
 use crate::units::{Duration as Milliseconds, Time, Wall};
-use log::{debug, info};
+use inbox::Inbox;
+use load::{IdleMeter, Load, Probe};
+use log::info;
+use outputs::Outputs;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use std::collections::HashMap;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
@@ -23,11 +27,16 @@
 const URGENT_QUEUE: usize = 512;
 /// The core has its turn after at most so many tasks of connections: it looks first at what is urgent.
 const CORE_EVERY: u32 = 16;
+/// After so many messages the core gives connections a turn, even if more wait for it.
+const MESSAGES_IN_A_ROW: u32 = 64;
 /// How often time passes for the core.
 const TICK: Duration = Duration::from_millis(50);
 /// An input that comes so long after the last tick takes the next one along: waking up costs more than a tick does.
 const TICK_ALONG: Milliseconds = Milliseconds(40);
 
+/// The core is told how long an input took if it took at least this long.
+const SLOW_INPUT: Duration = Duration::from_millis(20);
+
 /// What tasks tell the core's loop.
 #[derive(Debug)]
 enum Message {
@@ -37,135 +46,177 @@
     Input(Input),
     /// A peer's link was opened: where its answers go.
     Linked(u64, mpsc::Sender<Frame>),
+    /// The peer on this link takes admission tables.
+    TakesTables(u64),
     /// A peer's link was closed.
     Unlinked(u64),
 }
 
 /// Runs a node until the process is killed.
 pub fn run(settings: Settings, operators: Option<PathBuf>) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().event_interval(CORE_EVERY).build()?;
-    runtime.block_on(serve(settings, operators))
+    let idle = IdleMeter::new();
+    let (parked, unparked) = (idle.clone(), idle.clone());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .event_interval(CORE_EVERY)
+        .on_thread_park(move || parked.park())
+        .on_thread_unpark(move || unparked.unpark())
+        .build()?;
+    runtime.block_on(async { Node::start(settings, operators, idle).await?.serve().await })
+}
+
+/// A running node: the core, what comes in and what goes out.
+struct Node {
+    controller: Controller,
+    start: Instant,
+    /// Answers of the state service.
+    first: mpsc::Receiver<Message>,
+    inbox: Inbox,
+    outputs: Outputs,
+    requests: u64,
+    tick: tokio::time::Interval,
+    ticked: Time,
+    /// Inputs about this node itself, which go before all others.
+    own: Vec<Input>,
+    in_a_row: u32,
+    load: Load,
+    probe: Probe,
+    idle: IdleMeter,
 }
 
-async fn serve(settings: Settings, operators: Option<PathBuf>) -> std::io::Result<()> {
-    let limits = &settings.deployment.resources;
-    let (tell, mut inbox) = mpsc::channel::<Message>(limits.inputs_waiting());
-    let api = tokio::net::TcpListener::bind(settings.api_addr).await?;
-    let peer = tokio::net::TcpListener::bind(settings.peer_bind).await?;
-    info!("node {} listens on {} and for peers on {}", settings.node, settings.api_addr, settings.peer_bind);
-    info!(
-        "limits that follow from the settings: connections={} commands_at_once={} open_jobs={} inputs_waiting={}",
-        limits.connections(),
-        limits.commands_at_once(),
-        limits.open_jobs(),
-        limits.inputs_waiting()
-    );
-    http::serve(api, tell.clone(), settings.deployment.resources.connections());
-    links::listen(peer, tell.clone());
-    let mut links: HashMap<String, mpsc::Sender<Frame>> = HashMap::new();
-    for seed in &settings.seeds {
-        links.insert(seed.node.clone(), links::connect(seed, tell.clone()));
+impl Node {
+    async fn start(settings: Settings, operators: Option<PathBuf>, idle: IdleMeter) -> std::io::Result<Node> {
+        let limits = &settings.deployment.resources;
+        let (tell, inbox) = mpsc::channel::<Message>(limits.inputs_waiting());
+        let api = tokio::net::TcpListener::bind(settings.api_addr).await?;
+        let peer = tokio::net::TcpListener::bind(settings.peer_bind).await?;
+        info!("node {} listens on {} and for peers on {}", settings.node, settings.api_addr, settings.peer_bind);
+        info!(
+            "limits that follow from the settings: connections={} commands_at_once={} open_jobs={} inputs_waiting={}",
+            limits.connections(),
+            limits.commands_at_once(),
+            limits.open_jobs(),
+            limits.inputs_waiting()
+        );
+        http::serve(api, tell.clone(), limits.connections());
+        links::listen(peer, tell.clone());
+        let link = |seed| links::connect(&settings.node, seed, tell.clone());
+        let links = settings.seeds.iter().map(|seed| (seed.node.clone(), link(seed))).collect();
+        let (urgent, first) = mpsc::channel::<Message>(URGENT_QUEUE);
+        let clients = clients::Clients::new(&settings, tell.clone(), urgent)?;
+        if let Some(file) = operators {
+            reload::follow(file, settings.clone(), tell.clone());
+        }
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        Ok(Node {
+            start: Instant::now(),
+            first,
+            inbox: Inbox::new(inbox, limits.inputs_waiting()),
+            outputs: Outputs::new(settings.node.clone(), clients, links, tell),
+            requests: 0,
+            tick,
+            ticked: Time::START,
+            own: Vec::new(),
+            in_a_row: 0,
+            load: Load::new(TICK),
+            probe: Probe::new(),
+            idle,
+            controller: Controller::new(settings, SmallRng::from_os_rng().random()),
+        })
     }
-    let (urgent, mut first) = mpsc::channel::<Message>(URGENT_QUEUE);
-    let clients = clients::Clients::new(&settings, tell.clone(), urgent)?;
-    if let Some(file) = operators {
-        reload::follow(file, settings.clone(), tell.clone());
+
+    async fn serve(mut self) -> std::io::Result<()> {
+        loop {
+            let Some(message) = self.next_message().await else { return Ok(()) };
+            if let Some(input) = self.input_of(message) {
+                self.take(input);
+            }
+        }
+    }
+
+    fn now(&self) -> Time {
+        Time::START + Milliseconds(self.start.elapsed().as_millis() as u64)
     }
-    let start = Instant::now();
-    let node = settings.node.clone();
-    let mut controller = Controller::new(settings, SmallRng::from_os_rng().random());
-    let mut waiting: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
-    let mut incoming: HashMap<u64, mpsc::Sender<Frame>> = HashMap::new();
-    let mut requests = 0u64;
-    let mut load = load::Load::new(TICK);
-    let mut tick = tokio::time::interval(TICK);
-    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut ticked = Time::START;
-    let mut along = false;
-    let mut probe = load::Probe::new();
-    let mut behind = None;
-    loop {
-        let message = if let Some(by) = behind.take() {
-            Some(Message::Input(Input::Behind(by)))
-        } else if std::mem::take(&mut along) {
-            Some(Message::Input(Input::Tick))
-        } else {
+
+    /// What is to be done next: first what is about the node itself, then answers of the state service, time, and what waits by its
+    /// class.
+    async fn next_message(&mut self) -> Option<Message> {
+        loop {
+            if let Some(input) = self.own.pop() {
+                return Some(Message::Input(input));
+            }
+            self.in_a_row += 1;
+            if self.in_a_row >= MESSAGES_IN_A_ROW {
+                self.in_a_row = 0;
+                tokio::task::yield_now().await;
+            }
+            let now = self.now();
             tokio::select! {
                 biased;
-                message = first.recv() => message,
-                _ = tick.tick() => Some(Message::Input(Input::Tick)),
-                message = inbox.recv() => message,
+                message = self.first.recv() => return message,
+                _ = self.tick.tick() => return Some(Message::Input(Input::Tick)),
+                popped = self.inbox.next(now) => match popped? {
+                    inbox::Next::Serve(message) => return Some(message),
+                    inbox::Next::Refuse(message, why) => self.outputs.refuse(message, why),
+                },
             }
-        };
-        let input = match message {
-            Some(Message::Request(asked, to)) => {
-                requests += 1;
-                waiting.insert(requests, to);
-                let origin = Origin::Http(requests);
-                match asked {
+        }
+    }
+
+    /// The core's input that a message stands for, if it is not about links alone.
+    fn input_of(&mut self, message: Message) -> Option<Input> {
+        match message {
+            Message::Request(asked, to) => {
+                self.requests += 1;
+                let origin = Origin::Http(self.requests);
+                self.outputs.expect_answer(self.requests, to);
+                Some(match asked {
                     http::Asked::User(call) => Input::User(origin, call),
                     http::Asked::Report(report) => Input::Report(origin, report),
                     http::Asked::Up => Input::Up(origin),
-                }
+                })
+            }
+            Message::Input(input) => Some(input),
+            Message::Linked(link, to) => {
+                self.outputs.linked(link, to);
+                None
             }
-            Some(Message::Input(input)) => input,
-            Some(Message::Linked(link, to)) => {
-                incoming.insert(link, to);
-                continue;
+            Message::TakesTables(link) => {
+                self.outputs.takes_tables(link);
+                None
             }
-            Some(Message::Unlinked(link)) => {
-                incoming.remove(&link);
-                continue;
+            Message::Unlinked(link) => {
+                self.outputs.unlinked(link);
+                None
             }
-            None => return Ok(()),
-        };
-        let now = Time::START + Milliseconds(start.elapsed().as_millis() as u64);
-        load.took(now, &input);
+        }
+    }
+
+    /// Feeds the core with an input and carries its effects out.
+    fn take(&mut self, input: Input) {
+        let now = self.now();
+        self.load.took(now, &input);
         if matches!(input, Input::Tick) {
-            ticked = now;
-            behind = probe.look();
-        } else if now.since(ticked) >= TICK_ALONG {
-            tick.reset();
-            along = true;
+            self.ticked = now;
+            self.own.extend(self.probe.look().map(Input::Behind));
+            self.own.extend(self.idle.sample().map(Input::Utilization));
+        } else if now.since(self.ticked) >= TICK_ALONG {
+            self.tick.reset();
+            self.own.push(Input::Tick);
         }
         let wall = Wall(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64));
-        for effect in controller.handle(now, wall, input) {
-            load.does(&effect);
-            match effect {
-                Effect::Answer(Origin::Http(id), answer) => {
-                    if let Some(to) = waiting.remove(&id) {
-                        // A user who has hung up wants no answer.
-                        let _ = to.send(answer);
-                    }
-                }
-                Effect::Answer(Origin::Peer(link, id), answer) => {
-                    if let Some(to) = incoming.get(&link)
-                        && to.try_send(Frame::Answer(id, answer)).is_err()
-                    {
-                        // A peer that does not read loses its link, and with it all that waits there.
-                        incoming.remove(&link);
-                    }
-                }
-                Effect::State(slot, id, call) => clients.state(slot, id, call),
-                Effect::Cloud(token, id, call) => clients.cloud(token, id, call),
-                Effect::Command { token, machine, endpoint, id, body } => {
-                    clients.command(token, machine, &endpoint, id, &body);
-                }
-                Effect::Announce(token) => {
-                    for to in links.values() {
-                        // A link that is full or down hears of it another time.
-                        let _ = to.try_send(Frame::Leads(token.0, node.clone()));
-                    }
-                }
-                Effect::Forward(node, id, call) => {
-                    let sent = links.get(&node).is_some_and(|to| to.try_send(Frame::Request(id, call)).is_ok());
-                    if !sent {
-                        debug!("cannot forward to {node}");
-                        let answer = Answer { status: 503, retry_after: 1, body: "{}".into() };
-                        let _ = tell.try_send(Message::Input(Input::Forwarded(id, answer)));
-                    }
-                }
-            }
+        let kind = load::InputKind::of(&input);
+        let began = Instant::now();
+        let effects = self.controller.handle(now, wall, input);
+        let took = began.elapsed();
+        self.load.spent(kind, took);
+        if took >= SLOW_INPUT {
+            self.own.push(Input::Spent(Milliseconds(took.as_millis() as u64)));
+        }
+        for effect in effects {
+            self.load.does(&effect);
+            self.outputs.carry_out(effect);
         }
     }
 }
--- a/src/runtime/reload.rs
+++ b/src/runtime/reload.rs
@@ -1,4 +1,4 @@
-//! Follows the operators' file, so that other disruption budgets come into force without a restart.
+//! Follows the operators' file, so that other disruption budgets and settings of admission come into force without a restart.
 
 use super::Message;
 use crate::controller::Input;
@@ -11,7 +11,7 @@
 /// How often the file is looked at.
 const LOOK_EVERY: Duration = Duration::from_secs(5);
 
-/// Looks at the file from time to time. One that cannot be used leaves the budgets as they are.
+/// Looks at the file from time to time. One that cannot be used leaves everything as it is.
 pub fn follow(file: PathBuf, settings: Settings, tell: mpsc::Sender<Message>) {
     tokio::spawn(async move {
         let mut seen = changed_at(&file);
@@ -22,12 +22,13 @@
                 continue;
             }
             seen = changed;
-            match settings.load_policy(&file) {
-                Ok(policy) => {
-                    info!("disruption budgets read again from {}", file.display());
+            match settings.reload(&file) {
+                Ok((policy, admission)) => {
+                    info!("disruption budgets and settings of admission read again from {}", file.display());
                     let _ = tell.send(Message::Input(Input::Policy(Box::new(policy)))).await;
+                    let _ = tell.send(Message::Input(Input::AdmissionPolicy(Box::new(admission)))).await;
                 }
-                Err(e) => error!("disruption budgets stay as they are: {e}"),
+                Err(e) => error!("disruption budgets and settings of admission stay as they are: {e}"),
             }
         }
     });
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -20,6 +20,9 @@
 
 /// Least time between two plannings: a controller has a tenth of a core.
 const SCHEDULE_EVERY: Duration = Duration(100);
+/// A round of planning is followed by so many times as much for everything else: reports and users must not wait behind planning,
+/// whatever there is to plan. A flood of jobs made rounds of half a second, one after the other; the leader lost its lease.
+const REST_AFTER_ROUND: u64 = 2;
 /// Least time between two looks at what to rent and return.
 const DEMAND_EVERY: Duration = Duration(500);
 /// Least time between two rounds of drains, beside those that follow a write.
@@ -27,8 +30,13 @@
 /// Tasks of one job that are planned at once.
 const BATCH: u32 = 128;
 
+/// The share of the looks of a full round that is left at the least, and its growth after each round that was quick enough.
+const LEAST_LOOK_SHARE: f64 = 0.02;
+const LOOK_SHARE_GROWTH: f64 = 1.25;
 /// Machines that a round of planning looks at, over all jobs: a few milliseconds.
 const LOOKS: usize = 20_000;
+/// A round that takes longer than this is followed by one that looks at fewer machines: with full queues a look costs many times as much.
+const ROUND_TARGET: Duration = Duration(150);
 /// Or, in a fleet of more than 2,000 machines, so many jobs' looks at all of them.
 const JOBS_LOOKED_AT: usize = 10;
 /// A job of which nothing has begun for so long is promoted, so that it begins within four minutes.
@@ -103,6 +111,7 @@
 
     pub(crate) fn maybe_schedule(&mut self, now: Time, wall: Wall, certain: bool, out: &mut Vec<Effect>) {
         let (every, look_every) = self.planning_intervals();
+        let every = every.max(Duration(self.round_took.0 * (1 + REST_AFTER_ROUND)));
         if !self.loaded() || self.inventory.flavors().is_none() || now.since(self.scheduled) < every {
             return;
         }
@@ -112,6 +121,8 @@
         }
         self.dirty = false;
         self.scheduled = now;
+        self.adapt_looks();
+        self.round_took = Duration(0);
         if look {
             self.doubt_zones(now);
         }
@@ -130,6 +141,15 @@
         }
     }
 
+    /// Fits the machines that a round looks at to the time that the last one took.
+    fn adapt_looks(&mut self) {
+        let too_long = self.round_took.0 as f64 / ROUND_TARGET.0 as f64;
+        self.look_share = match too_long > 1.0 {
+            true => (self.look_share / too_long).max(LEAST_LOOK_SHARE),
+            false => (self.look_share * LOOK_SHARE_GROWTH).min(1.0),
+        };
+    }
+
     /// A round of planning: what changed since the last one, and everything when it is time to look.
     fn schedule(&mut self, now: Time, look: bool) {
         self.refresh(now);
@@ -332,6 +352,7 @@
         let mut hopeless: Vec<(Resources, bool, bool)> = Vec::new();
         let mut looks = 0;
         let most = LOOKS.max(JOBS_LOOKED_AT * self.plans.servers().count());
+        let most = ((most as f64 * self.look_share) as usize).max(2);
         let top = self.plan_some(now, &waiting, most / 2, &mut looks, &mut hopeless);
         let rest = &waiting[top..];
         let from = self.stopped.take().and_then(|id| rest.iter().position(|(job, _)| *job == id)).unwrap_or(0);
--- a/src/scheduling/starts.rs
+++ b/src/scheduling/starts.rs
@@ -1,6 +1,7 @@
 //! Starts: of what is planned where it has room, and of what idle machines take from other plans.
 
 use super::*;
+use caperstile_admission::Pair;
 
 impl Term {
     /// Whether a task of this job may start on this machine at this moment.
@@ -101,6 +102,7 @@
         job.pending.remove(key.task.index);
         job.placed.insert(key.task.index, intake::Placed { machine: id, key, running: false });
         debug!("start {key} machine={id} predicted={:?}s", predicted.map(Duration::as_secs));
+        self.admission.started(&Pair::new(&job.record.team, &job.record.class));
         used.entry(job.record.team.clone()).or_default().add(&job.record.need);
         machine.idle_since = None;
         machine.holds.insert(
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! What a node is told at its start: the platform's TOML and the operators' INI.
 
 use crate::units::Duration;
+use caperstile_admission::{AdmissionPolicy, AdmissionPolicyError};
 use caperstile_disruption::{Policy, PolicyError, Section, policy};
 use serde::Deserialize;
 use std::collections::BTreeSet;
@@ -36,6 +37,9 @@
     /// A disruption budget cannot be used.
     #[error("operators' settings: {0}")]
     Budget(#[from] PolicyError),
+    /// A setting of admission cannot be used.
+    #[error("operators' settings: {0}")]
+    Admission(#[from] AdmissionPolicyError),
 }
 
 fn field(field: impl Into<String>, problem: impl Into<String>) -> SettingsError {
@@ -67,6 +71,9 @@
     /// The teams' disruption budgets, from the same file.
     #[serde(skip)]
     pub policy: Policy,
+    /// How submissions are refused under overload, from the same file.
+    #[serde(skip)]
+    pub admission: AdmissionPolicy,
 }
 
 /// Another controller.
@@ -172,15 +179,36 @@
             let text = read(path)?;
             settings.tuning = Tuning::parse(&text)?;
             settings.policy = settings.parse_policy(&text)?;
+            settings.admission = settings.parse_admission(&text)?;
         }
         Ok(settings)
     }
 
-    /// Reads and checks the disruption budgets of the operators' INI again.
-    pub fn load_policy(&self, operators: &Path) -> Result<Policy, SettingsError> {
+    /// Reads and checks those settings of the operators' INI again that may change while a node runs.
+    pub fn reload(&self, operators: &Path) -> Result<(Policy, AdmissionPolicy), SettingsError> {
         let text = read(operators)?;
         Tuning::parse(&text)?;
-        self.parse_policy(&text)
+        Ok((self.parse_policy(&text)?, self.parse_admission(&text)?))
+    }
+
+    /// Reads the settings of admission in the text of the operators' INI.
+    pub fn parse_admission(&self, text: &str) -> Result<AdmissionPolicy, SettingsError> {
+        let ini = ini::Ini::load_from_str(text).map_err(|e| SettingsError::Ini(e.to_string()))?;
+        let teams = self.team_names();
+        let mut admission = AdmissionPolicy::default();
+        for (section, properties) in ini.iter() {
+            let section = section.unwrap_or("");
+            if AdmissionPolicy::is_section(section) {
+                for (key, value) in properties.iter() {
+                    admission.set(section, key, value, &teams)?;
+                }
+            }
+        }
+        Ok(admission)
+    }
+
+    fn team_names(&self) -> BTreeSet<String> {
+        self.deployment.teams.iter().map(|team| team.name.clone()).collect()
     }
 
     /// Reads the disruption budgets in the text of the operators' INI.
@@ -194,9 +222,8 @@
             .map(|(name, properties)| Section { name: name.unwrap_or("").into(), entries: entries(properties) })
             .filter(|section| policy::is_section(&section.name))
             .collect();
-        let teams = self.deployment.teams.iter().map(|team| team.name.clone()).collect();
         let clock_error = Duration::secs(self.deployment.clock_error_ms / 1000.0);
-        Ok(policy::parse(&sections, &teams, clock_error)?)
+        Ok(policy::parse(&sections, &self.team_names(), clock_error)?)
     }
 
     /// Reads and checks the platform's TOML.
--- a/src/term.rs
+++ b/src/term.rs
@@ -16,16 +16,20 @@
 use crate::upgrade::Format;
 use crate::wire::{Cause, Report, ReportAnswer};
 use crate::workers::{self, Enrolment, Machine};
+use caperstile_admission::{AdmissionControl, AdmissionTable, Decision, Submission};
 use caperstile_disruption::Coordinator;
 use log::{debug, info, warn};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+mod backlog;
 mod facts;
 mod reports;
 mod tasks;
 mod users;
 
+pub(crate) use users::too_many;
+
 /// Direct commands are given up after this time; they may still be executed later.
 pub const COMMAND_TIMEOUT: Duration = Duration(1500);
 /// How long a commit may take before its users are told to come back.
@@ -114,6 +118,7 @@
     opened: bool,
     attempts: u64,
     pub(crate) commands: u64,
+    pub(crate) admission: AdmissionControl,
     accepting: HashMap<JobId, Vec<Waiter>>,
     cancelling: HashMap<JobId, Vec<Waiter>>,
     /// Finished attempts that may be reaped once their finish is durable.
@@ -131,6 +136,10 @@
     pub(crate) reaches: bool,
     /// So long inputs wait: planning does less then, so that reports and users come first.
     pub(crate) behind: Duration,
+    /// How long the last round of planning took, if it was slow.
+    pub(crate) round_took: Duration,
+    /// The share of a full round's looks that the next round may take.
+    pub(crate) look_share: f64,
     pub(crate) over: Option<Over>,
     pub(crate) drains: Option<Coordinator>,
     /// When drains had their round last.
@@ -168,6 +177,7 @@
             opened: false,
             attempts: 0,
             commands: 0,
+            admission: AdmissionControl::new(token, now, settings.admission.clone()),
             accepting: HashMap::new(),
             cancelling: HashMap::new(),
             finished: HashMap::new(),
@@ -179,6 +189,8 @@
             silent_for: Duration(0),
             reaches: false,
             behind: Duration(0),
+            round_took: Duration(0),
+            look_share: 1.0,
             over: None,
             drains: drains::coordinator(settings, now),
             drained: Time(0),
@@ -225,6 +237,32 @@
         self.machines.values()
     }
 
+    /// The last input took so long. Only rounds of planning are slow.
+    pub(crate) fn spent(&mut self, took: Duration) {
+        self.round_took = took;
+    }
+
+    /// Makes a new admission table if one is due.
+    pub(crate) fn admission_table(&mut self, now: Time) -> Option<&AdmissionTable> {
+        if self.admission.wants_backlog(now) {
+            let waiting = self.backlog_by_pair(now);
+            self.admission.observe_backlog(now, waiting);
+        }
+        let made = self.admission.tick(now).is_some();
+        for change in self.admission.take_changes() {
+            match change.refused {
+                true => info!("refusing submissions of {}", change.pair),
+                false => info!("admitting all submissions of {}", change.pair),
+            }
+        }
+        if made && log::log_enabled!(log::Level::Debug) {
+            for pair in self.admission.status(now).iter().filter(|pair| pair.refused_since.is_some()) {
+                debug!("admission {pair}");
+            }
+        }
+        made.then(|| self.admission.table())
+    }
+
     /// Those who wait for a commit are told to come back.
     pub fn abdicate(self, out: &mut Vec<Effect>) {
         for waiter in self.accepting.into_values().chain(self.cancelling.into_values()).flatten() {
--- a/src/term/facts.rs
+++ b/src/term/facts.rs
@@ -101,6 +101,7 @@
                     Applied::Accepted(id) => {
                         if let Some(job) = self.jobs.get(id) {
                             self.arrivals.note(now, &job.record);
+                            self.admission.accepted(now, id);
                             debug!("accepted {id} class={} tasks={}", job.record.class, job.record.tasks);
                             for waiter in self.accepting.remove(&id).unwrap_or_default() {
                                 out.push(Effect::Answer(waiter.origin, accepted(&job.record)));
--- a/src/term/users.rs
+++ b/src/term/users.rs
@@ -73,6 +73,10 @@
         if !self.records.fits(&Record::Job(record.clone())) {
             return Some(refused(&Refusal::Malformed("Reel", "the job's names are too long to be kept")));
         }
+        let submission = Submission { job: record.id, team: &record.team, class: &record.class };
+        if let Decision::Refuse { retry_after_s } = self.admission.decide(now, &submission, record.tasks) {
+            return Some(too_many(retry_after_s));
+        }
         let limit = self.settings.deployment.resources.open_jobs();
         if self.jobs.open() >= limit || self.records.backlog() >= BACKLOG_LIMIT + self.machines.len() {
             // Answered at once: the user is told when to come back.
@@ -144,6 +148,11 @@
     }
 }
 
+/// 429: refused by the admission table; come back after so many seconds.
+pub(crate) fn too_many(retry_after: u16) -> Answer {
+    Answer { status: 429, retry_after, body: json!({"error": "too many submissions of this class"}).to_string() }
+}
+
 fn refused(refusal: &Refusal) -> Answer {
     let (status, body) = match refusal {
         Refusal::Malformed(field, problem) => (400, json!({"error": problem, "field": field})),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,6 +5,24 @@
 use crate::units::TaskId;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::borrow::Cow;
+
+/// What admission looks at of a submission.
+#[derive(Debug, Deserialize)]
+pub struct SubmissionHead<'a> {
+    /// The job's id.
+    #[serde(rename = "Ref", borrow)]
+    pub job: Cow<'a, str>,
+    /// Class.
+    #[serde(rename = "Lane", borrow)]
+    pub class: Cow<'a, str>,
+    /// Team.
+    #[serde(rename = "Crew", borrow)]
+    pub team: Cow<'a, str>,
+    /// Number of tasks.
+    #[serde(rename = "Pieces")]
+    pub tasks: u32,
+}
 
 /// A worker's report, also the body of its answers to direct commands.
 #[derive(Debug, Clone, Deserialize, Serialize)]
--- a/tests/support/nodes.rs
+++ b/tests/support/nodes.rs
@@ -236,6 +236,19 @@
                         }
                     }
                 }
+                Effect::ReportRefused(to, report) => {
+                    let target = (0..self.site.nodes).find(|n| name(*n) == to).expect("a known node");
+                    if !self.isolated.contains(&node) && !self.isolated.contains(&target) {
+                        self.input(target, Input::RefusedElsewhere(report), delay);
+                    }
+                }
+                Effect::Publish(table) => {
+                    for to in (0..self.site.nodes).filter(|n| *n != node) {
+                        if self.nodes[to].is_some() && !self.isolated.contains(&node) && !self.isolated.contains(&to) {
+                            self.input(to, Input::AdmissionTable(table.clone()), delay);
+                        }
+                    }
+                }
                 Effect::Forward(to, id, call) => {
                     let target = (0..self.site.nodes).find(|n| name(*n) == to).expect("a known node");
                     let link = epoch * self.count() + node as u64;
