--- /dev/null
+++ b/crates/admission/tests/table.rs
@@ -0,0 +1,166 @@
+//! Tables: the same answer on every node, encoding, and which one a node goes by.
+
+use caperstile_admission::{
+    AdmissionTable, Decision, DecodeError, DemandReport, Pair, Ratio, Submission, TableEntry, TableNumber, TableView,
+};
+use caperstile_units::{Duration, JobId, Time, Token};
+use proptest::prelude::*;
+use roaring::RoaringTreemap;
+
+fn number(token: u64, sequence: u64) -> TableNumber {
+    TableNumber { token: Token(token), sequence }
+}
+
+fn table(number: TableNumber, draw: u32, share: f64, accepted: &[u64]) -> AdmissionTable {
+    let entry = TableEntry { pair: Pair::new("crew", "render"), ratio: Ratio::of(share) };
+    AdmissionTable::new(number, draw, [entry], accepted.iter().copied().collect())
+}
+
+fn submission(job: u64) -> Submission<'static> {
+    Submission { job: JobId(job), team: "crew", class: "render" }
+}
+
+fn admits(table: &AdmissionTable, job: u64) -> bool {
+    table.decide(&submission(job)) == Decision::Admit
+}
+
+#[test]
+fn the_ratio_is_kept_and_other_pairs_are_not_touched() {
+    let table = table(number(7, 1), 3, 0.25, &[]);
+    let admitted = (0..20_000).filter(|job| admits(&table, *job)).count();
+    assert!((4_700..5_300).contains(&admitted), "{admitted} of 20,000");
+    for (team, class) in [("crew", "live"), ("other", "render"), ("crewrender", "")] {
+        assert!((0..100).all(|job| table.decide(&Submission { job: JobId(job), team, class }) == Decision::Admit));
+    }
+}
+
+#[test]
+fn a_higher_ratio_admits_all_that_a_lower_one_does() {
+    let (low, high) = (table(number(7, 1), 3, 0.2, &[]), table(number(7, 2), 3, 0.3, &[]));
+    assert!((0..5_000).filter(|job| admits(&low, *job)).all(|job| admits(&high, job)));
+}
+
+#[test]
+fn nobody_is_refused_for_ever() {
+    let refused_by_all = |job: &u64| (0..200).all(|draw| !admits(&table(number(7, 1), draw, 0.1, &[]), *job));
+    assert_eq!((0..1_000).filter(refused_by_all).count(), 0);
+}
+
+#[test]
+fn refused_users_come_back_in_a_later_draw_spread_out_and_within_the_protocol() {
+    let table = table(number(7, 1), 3, 0.0, &[]);
+    let mut times: Vec<u16> = (0..1_000)
+        .map(|job| match table.decide(&submission(job)) {
+            Decision::Refuse { retry_after_s } => retry_after_s,
+            Decision::Admit => panic!("{job} is admitted at a ratio of 0"),
+        })
+        .collect();
+    times.sort_unstable();
+    assert!(times[0] >= 8 && times[999] <= 30, "{} to {}", times[0], times[999]);
+    times.dedup();
+    assert!(times.len() >= 8, "{times:?}");
+}
+
+#[test]
+fn a_repeat_of_an_accepted_submission_is_not_refused() {
+    let table = table(number(7, 1), 3, 0.0, &[5, 900_000_000_000]);
+    assert!(admits(&table, 5) && admits(&table, 900_000_000_000));
+    assert!(!admits(&table, 6));
+}
+
+#[test]
+fn an_older_table_never_replaces_a_newer_one() {
+    let mut view = TableView::default();
+    let received =
+        |view: &mut TableView, at, token, sequence| view.receive(Time(at), table(number(token, sequence), 0, 0.0, &[]));
+    assert!(received(&mut view, 0, 7, 2));
+    assert!(!received(&mut view, 10, 7, 1), "an earlier one of the same leader");
+    assert!(!received(&mut view, 10, 7, 2), "the same again");
+    assert!(!received(&mut view, 10, 6, 9), "one of an earlier leader");
+    assert!(received(&mut view, 10, 8, 1), "one of a later leader");
+    assert!(!received(&mut view, 20, 7, 99), "one of the leader before");
+}
+
+#[test]
+fn without_a_table_in_force_nothing_is_refused() {
+    let mut view = TableView::default();
+    assert_eq!(view.decide(Time(0), Token(7), &submission(1)), Decision::Admit);
+    view.receive(Time(0), table(number(7, 1), 0, 0.0, &[]));
+    assert_ne!(view.decide(Time(0), Token(7), &submission(1)), Decision::Admit);
+    assert_eq!(view.decide(Time(0), Token(8), &submission(1)), Decision::Admit, "another node leads");
+    let late = Time(0) + Duration(5_000);
+    assert_eq!(view.decide(late, Token(7), &submission(1)), Decision::Admit, "nothing was heard for 5 s");
+    // A late copy does not make it valid again.
+    view.receive(Time(4_000), table(number(7, 1), 0, 0.0, &[]));
+    assert_eq!(view.decide(late, Token(7), &submission(1)), Decision::Admit);
+}
+
+#[test]
+fn what_cannot_be_read_is_an_error() {
+    let bytes = table(number(7, 1), 3, 0.5, &[1, 2]).encode();
+    for length in 0..bytes.len() {
+        let shorter = AdmissionTable::decode(&bytes[..length]);
+        // Accepted jobs may be left out by the sender.
+        let without_accepted = shorter.as_ref().is_ok_and(|table| admits(table, 1) != admits(table, 1) || length > 24);
+        assert!(shorter.is_err() || without_accepted, "{length} bytes");
+    }
+    let mut later = bytes.clone();
+    later[0] = 2;
+    assert_eq!(AdmissionTable::decode(&later), Err(DecodeError::Layout(2)));
+    let mut not_text = bytes;
+    not_text[28] = 0xff;
+    assert_eq!(AdmissionTable::decode(&not_text), Err(DecodeError::Name));
+}
+
+#[test]
+fn however_many_pairs_and_jobs_there_are_a_table_fits_into_a_frame() {
+    let entries = (0..4_000)
+        .map(|n| TableEntry { pair: Pair::new(&format!("team-{n}-{}", "x".repeat(60)), "y"), ratio: Ratio::of(0.5) });
+    let accepted: RoaringTreemap = (0..50_000u64).map(|n| n * 7_919).collect();
+    let table = AdmissionTable::new(number(7, 1), 3, entries, accepted);
+    let bytes = table.encode();
+    assert!(bytes.len() <= 60 * 1024, "{} bytes", bytes.len());
+    let read = AdmissionTable::decode(&bytes).expect("it can be read");
+    let entries = read.entries().count();
+    assert!((100..4_000).contains(&entries), "{entries} entries");
+}
+
+proptest! {
+    #[test]
+    fn what_is_encoded_is_read_back_and_decides_the_same(
+        token in any::<u64>(),
+        sequence in any::<u64>(),
+        draw in any::<u32>(),
+        pairs in prop::collection::vec(("[a-z]{1,12}", "[a-zä-ü]{1,12}", 0.0f64..0.99), 0..30),
+        accepted in prop::collection::btree_set(0u64..1_000_000_000_000, 0..200),
+    ) {
+        let entries = pairs.iter().map(|(team, class, share)| TableEntry {
+            pair: Pair::new(team, class),
+            ratio: Ratio::of(*share),
+        });
+        let table = AdmissionTable::new(number(token, sequence), draw, entries, accepted.iter().copied().collect());
+        let read = AdmissionTable::decode(&table.encode()).expect("it can be read");
+        prop_assert_eq!(&read, &table);
+        for (team, class, _) in &pairs {
+            for job in (0..50).map(JobId) {
+                let submission = Submission { job, team, class };
+                prop_assert_eq!(read.decide(&submission), table.decide(&submission));
+            }
+        }
+    }
+
+    #[test]
+    fn bytes_from_anywhere_do_no_harm(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = AdmissionTable::decode(&bytes);
+        let _ = DemandReport::decode(&bytes);
+    }
+
+    #[test]
+    fn reports_are_read_back(refused in prop::collection::vec(("[a-z]{1,9}", "[a-z]{1,9}", 0u32..100_000), 0..50)) {
+        let mut report = DemandReport::default();
+        for (team, class, tasks) in &refused {
+            report.refused(team, class, *tasks);
+        }
+        prop_assert_eq!(DemandReport::decode(&report.encode()), Ok(report));
+    }
+}
