Admission: overload by averages of busy time and waits; the wait for machines bounds admission in an overload, or always by setting

Busy time and waits of single seconds fluctuate, so that an overload of minutes was not seen as one.

--- a/crates/admission/src/capacity.rs
+++ b/crates/admission/src/capacity.rs
@@ -6,17 +6,19 @@
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct Utilization(pub f64);
 
+/// Measurements this long ago count 1/e of those now: elections, and fleets that come up, pass by themselves.
+const TIME_CONSTANT: Duration = Duration(5_000);
 /// A controller that is busy for at least this share of the time has no reserve.
-const SATURATED: Utilization = Utilization(0.95);
+const SATURATED: f64 = 0.9;
 /// Below this there is room for more.
-const RELAXED: Utilization = Utilization(0.85);
+const RELAXED: f64 = 0.8;
 /// Planning takes what is left of the processor, so that a busy node is overloaded only if inputs wait at least this long.
-const LONG_QUEUEING: Duration = Duration(500);
+const LONG_QUEUEING: Duration = Duration(250);
 /// If they wait less than this there is room for more, however busy the node is.
-const SHORT_QUEUEING: Duration = Duration(150);
-/// It must be saturated for so long before less is admitted: elections and fleets that come up pass by themselves.
-const PATIENCE: Duration = Duration(4_000);
-/// The limit falls to this part of what was admitted, and not sooner again than after `PATIENCE`.
+const SHORT_QUEUEING: Duration = Duration(100);
+/// What was admitted before shows in the load only after some time: the limit falls no more often than this.
+const DECREASE_EVERY: Duration = Duration(4_000);
+/// The limit falls to this part of what was admitted.
 const DECREASE: f64 = 0.7;
 /// Each relaxed second the limit grows by this part of itself, and by at least `LEAST_STEP`.
 const INCREASE: f64 = 0.05;
@@ -33,7 +35,10 @@
 #[derive(Debug, Default)]
 pub struct CapacityRegulator {
     limit: Option<f64>,
-    saturated_since: Option<Time>,
+    utilization: f64,
+    queueing_s: f64,
+    observed_at: Time,
+    decreased_at: Time,
 }
 
 impl CapacityRegulator {
@@ -42,31 +47,30 @@
         self.limit
     }
 
-    /// Takes a measurement of one second: how busy the node was, how long its inputs waited, and the cost per second that was asked for
-    /// and admitted lately.
+    /// Takes a measurement: how busy the node was lately, how long its inputs waited, and the cost per second that was asked for and
+    /// admitted.
     pub fn observe(&mut self, now: Time, utilization: Utilization, queueing: Duration, demanded: f64, admitted: f64) {
-        let overloaded = utilization >= SATURATED && queueing >= LONG_QUEUEING;
-        if overloaded {
-            self.saturated(now, admitted);
-            return;
-        }
-        self.saturated_since = None;
-        if utilization < RELAXED || queueing < SHORT_QUEUEING {
-            self.relaxed(demanded);
+        let kept = (-now.since(self.observed_at).as_secs() / TIME_CONSTANT.as_secs()).exp();
+        self.observed_at = now;
+        self.utilization = self.utilization * kept + utilization.0 * (1.0 - kept);
+        self.queueing_s = self.queueing_s * kept + queueing.as_secs() * (1.0 - kept);
+        if self.utilization >= SATURATED && self.queueing_s >= LONG_QUEUEING.as_secs() {
+            self.decrease(now, admitted);
+        } else if self.utilization < RELAXED || self.queueing_s < SHORT_QUEUEING.as_secs() {
+            self.increase(demanded);
         }
     }
 
-    fn saturated(&mut self, now: Time, admitted: f64) {
-        let since = *self.saturated_since.get_or_insert(now);
-        if now.since(since) < PATIENCE {
+    fn decrease(&mut self, now: Time, admitted: f64) {
+        if now.since(self.decreased_at) < DECREASE_EVERY {
             return;
         }
-        self.saturated_since = Some(now);
+        self.decreased_at = now;
         let in_use = self.limit.map_or(admitted, |limit| limit.min(admitted));
         self.limit = Some((in_use * DECREASE).max(FLOOR));
     }
 
-    fn relaxed(&mut self, demanded: f64) {
+    fn increase(&mut self, demanded: f64) {
         let Some(limit) = self.limit else { return };
         let raised = limit + (limit * INCREASE).max(LEAST_STEP);
         self.limit = (raised < demanded * LIFTED_AT + FLOOR).then_some(raised);
--- a/crates/admission/src/control.rs
+++ b/crates/admission/src/control.rs
@@ -4,7 +4,7 @@
 use crate::capacity::{CapacityRegulator, FLOOR, Utilization};
 use crate::demand::{DemandMeter, PairDemand};
 use crate::fair_share::{Claim, max_min};
-use crate::policy::AdmissionPolicy;
+use crate::policy::{AdmissionPolicy, BacklogBound};
 use crate::report::DemandReport;
 use crate::submission::{Pair, Submission};
 use crate::table::{AdmissionTable, DRAW_LENGTH, Decision, Ratio, TableEntry, TableNumber};
@@ -199,7 +199,12 @@
 
     /// What each pair may ask for: no more than brings its backlog to the longest wait.
     fn admissible_demand(&self, now: Time, pair: &Pair, demand: &PairDemand) -> f64 {
-        let Some(tasks) = self.backlog.admissible(now, pair).filter(|_| self.policy.bounds_backlog) else {
+        let bounded = match self.policy.backlog_bound {
+            BacklogBound::Never => false,
+            BacklogBound::WhileOverloaded => self.regulator.limit().is_some(),
+            BacklogBound::Always => true,
+        };
+        let Some(tasks) = self.backlog.admissible(now, pair).filter(|_| bounded) else {
             return demand.demanded;
         };
         demand.demanded * (tasks / demand.demanded_tasks).min(1.0)
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -31,7 +31,7 @@
 pub use codec::DecodeError;
 pub use control::{AdmissionControl, Change, PairStatus};
 pub use demand::DemandMeter;
-pub use policy::{AdmissionPolicy, AdmissionPolicyError};
+pub use policy::{AdmissionPolicy, AdmissionPolicyError, BacklogBound};
 pub use queue::{Popped, RequestClass, RequestQueue, Shed};
 pub use report::{DemandReport, RefusedDemand};
 pub use submission::{Cost, Pair, Submission};
--- a/crates/admission/src/policy.rs
+++ b/crates/admission/src/policy.rs
@@ -11,13 +11,35 @@
 /// Users give up after 60 s, so a longer wait would serve nobody.
 const WAITS_S: std::ops::RangeInclusive<f64> = 5.0..=50.0;
 
+/// When submissions are refused because the jobs of their pair wait too long for machines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BacklogBound {
+    /// Never.
+    Never,
+    /// While the controllers are overloaded: long queues cost them most, and what waits longest gains least by being accepted.
+    WhileOverloaded,
+    /// Whenever they wait too long.
+    Always,
+}
+
+impl BacklogBound {
+    fn parse(value: &str) -> Result<BacklogBound, String> {
+        match value {
+            "never" => Ok(BacklogBound::Never),
+            "overload" => Ok(BacklogBound::WhileOverloaded),
+            "always" => Ok(BacklogBound::Always),
+            _ => Err(format!("`{value}` is none of never, overload and always")),
+        }
+    }
+}
+
 /// What operators say of admission.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AdmissionPolicy {
     /// Whether an overloaded leader refuses submissions by a table.
     pub enabled: bool,
-    /// Whether submissions are also refused while the jobs of their pair wait too long for machines.
-    pub bounds_backlog: bool,
+    /// When submissions are also refused because the jobs of their pair wait too long for machines.
+    pub backlog_bound: BacklogBound,
     /// A pair that asked for so long without an admitted job is admitted in full, unless more pairs wait than can be served in that time.
     pub max_wait: Duration,
     weights: BTreeMap<String, f64>,
@@ -25,7 +47,12 @@
 
 impl Default for AdmissionPolicy {
     fn default() -> Self {
-        AdmissionPolicy { enabled: true, bounds_backlog: true, max_wait: Duration(20_000), weights: BTreeMap::new() }
+        AdmissionPolicy {
+            enabled: true,
+            backlog_bound: BacklogBound::WhileOverloaded,
+            max_wait: Duration(20_000),
+            weights: BTreeMap::new(),
+        }
     }
 }
 
@@ -74,7 +101,7 @@
         }
         match key {
             "enabled" => self.enabled = yes_or_no(value).map_err(error)?,
-            "bound_backlog" => self.bounds_backlog = yes_or_no(value).map_err(error)?,
+            "bound_backlog" => self.backlog_bound = BacklogBound::parse(value).map_err(error)?,
             "max_wait_s" => self.max_wait = Duration::secs(within(value, WAITS_S).map_err(error)?),
             _ => return Err(error("not a known setting".into())),
         }
