--- a/src/controller.rs
+++ b/src/controller.rs
@@ -206,6 +206,14 @@
         self.term.as_ref()
     }
 
+    /// The admission table that this node decides by: its own if it leads, else the one in force.
+    pub fn admission_table(&self, now: Time) -> Option<&AdmissionTable> {
+        match &self.term {
+            Some(term) => Some(term.admission.table()),
+            None => self.admission.in_force(now, self.leadership.heard()),
+        }
+    }
+
     /// Takes one input and says what is to be done.
     pub fn handle(&mut self, now: Time, wall: Wall, input: Input) -> Vec<Effect> {
         let mut out = Vec::new();
@@ -213,12 +221,12 @@
             Input::Tick => self.tick(now, wall, &mut out),
             Input::Behind(by) => {
                 if let Some(term) = &mut self.term {
-                    term.behind = by;
+                    term.pacing.behind = by;
                 }
             }
             Input::Spent(took) => {
                 if let Some(term) = &mut self.term {
-                    term.spent(took);
+                    term.pacing.spent(took);
                 }
             }
             Input::User(origin, call) => self.user(now, wall, origin, call, now + PATIENCE, &mut out),
@@ -258,7 +266,7 @@
             }
             Input::Utilization(utilization) => {
                 if let Some(term) = &mut self.term {
-                    term.admission.observe(now, utilization, term.behind);
+                    term.admission.observe(now, utilization, term.pacing.behind);
                 }
             }
             Input::RefusedElsewhere(report) => {
@@ -498,7 +506,7 @@
     /// Decides by the leader's admission table whether a request is worth forwarding. What cannot be read is the leader's to refuse.
     fn decide(&mut self, now: Time, call: &UserCall) -> Decision {
         let UserCall::Submit(body) = call else { return Decision::Admit };
-        let Some(table) = self.admission.in_force(now, self.leadership.heard()).filter(|table| !table.is_open()) else {
+        let Some(table) = self.admission_table(now).filter(|table| !table.is_open()) else {
             return Decision::Admit;
         };
         let Ok(head) = serde_json::from_slice::<SubmissionHead>(body) else { return Decision::Admit };
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -14,3 +14,17 @@
     wrong[20] = 9;
     assert!(Frame::decode(&Frame::header(&wrong).unwrap(), vec![]).is_err());
 }
+
+/// Versions before admission tables know kinds 1 to 5 and read a hello as an announcement of a leader without a token.
+#[test]
+fn a_hello_is_an_announcement_that_earlier_versions_read_and_ignore() {
+    let hello = Frame::hello("n1");
+    assert_eq!(hello.encode(), Frame::Leads(0, "n1".into()).encode());
+    assert!(hello.is_hello() && !Frame::Leads(1, "n1".into()).is_hello());
+    for frame in [Frame::Admission(vec![1, 2].into()), Frame::Refused(vec![3])] {
+        let bytes = frame.encode();
+        assert!(bytes[20] > 5, "a kind of its own");
+        let header = Frame::header(bytes[..HEADER_BYTES].try_into().unwrap()).unwrap();
+        assert_eq!(Frame::decode(&header, bytes[HEADER_BYTES..].to_vec()), Ok(frame));
+    }
+}
--- a/src/scheduling.rs
+++ b/src/scheduling.rs
@@ -12,33 +12,19 @@
 
 mod gangs;
 mod limits;
+mod pacing;
 mod room;
 mod starts;
 mod view;
 
+pub(crate) use pacing::Pacing;
 pub(crate) use view::{Names, View};
 
-/// Least time between two plannings: a controller has a tenth of a core.
-const SCHEDULE_EVERY: Duration = Duration(100);
-/// A round of planning is followed by so many times as much for everything else: reports and users must not wait behind planning,
-/// whatever there is to plan. A flood of jobs made rounds of half a second, one after the other; the leader lost its lease.
-const REST_AFTER_ROUND: u64 = 2;
-/// Least time between two looks at what to rent and return.
-const DEMAND_EVERY: Duration = Duration(500);
 /// Least time between two rounds of drains, beside those that follow a write.
 const DRAIN_EVERY: Duration = Duration(1000);
 /// Tasks of one job that are planned at once.
 const BATCH: u32 = 128;
 
-/// The share of the looks of a full round that is left at the least, and its growth after each round that was quick enough.
-const LEAST_LOOK_SHARE: f64 = 0.02;
-const LOOK_SHARE_GROWTH: f64 = 1.25;
-/// Machines that a round of planning looks at, over all jobs: a few milliseconds.
-const LOOKS: usize = 20_000;
-/// A round that takes longer than this is followed by one that looks at fewer machines: with full queues a look costs many times as much.
-const ROUND_TARGET: Duration = Duration(150);
-/// Or, in a fleet of more than 2,000 machines, so many jobs' looks at all of them.
-const JOBS_LOOKED_AT: usize = 10;
 /// A job of which nothing has begun for so long is promoted, so that it begins within four minutes.
 const STARVED_AFTER: Duration = Duration(120_000);
 /// To this rank, for its first task: before all but services, which it must not push aside.
@@ -103,26 +89,20 @@
         }
     }
 
-    /// How often to plan, and to look at everything: less often when behind, for more tasks at once.
-    fn planning_intervals(&self) -> (Duration, Duration) {
-        let paced = |every: Duration, most: u64| Duration((every.0 + 2 * self.behind.0).min(most));
-        (paced(SCHEDULE_EVERY, 1000), paced(DEMAND_EVERY, 3000))
-    }
-
     pub(crate) fn maybe_schedule(&mut self, now: Time, wall: Wall, certain: bool, out: &mut Vec<Effect>) {
-        let (every, look_every) = self.planning_intervals();
-        let every = every.max(Duration(self.round_took.0 * (1 + REST_AFTER_ROUND)));
-        if !self.loaded() || self.inventory.flavors().is_none() || now.since(self.scheduled) < every {
+        if !self.loaded()
+            || self.inventory.flavors().is_none()
+            || now.since(self.scheduled) < self.pacing.schedule_every()
+        {
             return;
         }
-        let look = now.since(self.demanded) >= look_every;
+        let look = now.since(self.demanded) >= self.pacing.demand_every();
         if !self.dirty && !look {
             return;
         }
         self.dirty = false;
         self.scheduled = now;
-        self.adapt_looks();
-        self.round_took = Duration(0);
+        self.pacing.begin_round();
         if look {
             self.doubt_zones(now);
         }
@@ -141,15 +121,6 @@
         }
     }
 
-    /// Fits the machines that a round looks at to the time that the last one took.
-    fn adapt_looks(&mut self) {
-        let too_long = self.round_took.0 as f64 / ROUND_TARGET.0 as f64;
-        self.look_share = match too_long > 1.0 {
-            true => (self.look_share / too_long).max(LEAST_LOOK_SHARE),
-            false => (self.look_share * LOOK_SHARE_GROWTH).min(1.0),
-        };
-    }
-
     /// A round of planning: what changed since the last one, and everything when it is time to look.
     fn schedule(&mut self, now: Time, look: bool) {
         self.refresh(now);
@@ -351,8 +322,7 @@
         // Like tasks that found no machine in this round are not tried one by one, nor larger ones.
         let mut hopeless: Vec<(Resources, bool, bool)> = Vec::new();
         let mut looks = 0;
-        let most = LOOKS.max(JOBS_LOOKED_AT * self.plans.servers().count());
-        let most = ((most as f64 * self.look_share) as usize).max(2);
+        let most = self.pacing.looks(self.plans.servers().count());
         let top = self.plan_some(now, &waiting, most / 2, &mut looks, &mut hopeless);
         let rest = &waiting[top..];
         let from = self.stopped.take().and_then(|id| rest.iter().position(|(job, _)| *job == id)).unwrap_or(0);
--- /dev/null
+++ b/src/scheduling/pacing/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+
+/// On the day of the flood rounds took up to 0.8 s and followed one another; reports and the renewal of the lease waited.
+#[test]
+fn planning_takes_a_third_of_the_time_at_the_most_however_long_rounds_are() {
+    for took in [10, 100, 400, 800, 3000] {
+        let mut pacing = Pacing::default();
+        pacing.spent(Duration(took));
+        assert!(
+            pacing.schedule_every().0 >= 3 * took,
+            "a round of {took} ms, the next after {:?}",
+            pacing.schedule_every()
+        );
+        // A quick round ends it.
+        pacing.begin_round();
+        assert_eq!(pacing.schedule_every(), SCHEDULE_EVERY);
+    }
+}
+
+#[test]
+fn rounds_that_are_too_long_become_shorter_until_they_are_not() {
+    let mut pacing = Pacing::default();
+    let full = pacing.looks(700);
+    assert_eq!(full, 20_000);
+    // Each look costs 40 microseconds, 800 ms for a full round.
+    for _ in 0..10 {
+        pacing.spent(Duration(pacing.looks(700) as u64 * 40 / 1000));
+        pacing.begin_round();
+    }
+    let took = pacing.looks(700) * 40 / 1000;
+    assert!((80..=200).contains(&took), "{took} ms");
+    // With short queues they grow again.
+    for _ in 0..20 {
+        pacing.begin_round();
+    }
+    assert_eq!(pacing.looks(700), full);
+    for _ in 0..50 {
+        pacing.spent(Duration(60_000));
+        pacing.begin_round();
+    }
+    assert!(pacing.looks(700) >= 2, "some jobs are always looked at");
+}
+
+#[test]
+fn a_node_that_is_behind_plans_less_often() {
+    let behind = |ms| Pacing { behind: Duration(ms), ..Pacing::default() };
+    assert_eq!((behind(0).schedule_every().0, behind(0).demand_every().0), (100, 500));
+    assert_eq!((behind(300).schedule_every().0, behind(300).demand_every().0), (700, 1100));
+    assert_eq!((behind(9000).schedule_every().0, behind(9000).demand_every().0), (1000, 3000));
+}
--- a/src/term.rs
+++ b/src/term.rs
@@ -9,7 +9,7 @@
 use crate::peers::{Answer, UserCall};
 use crate::plan::{Correction, Plans};
 use crate::records::{self, MachineRecord, Record, Records};
-use crate::scheduling::Names;
+use crate::scheduling::{Names, Pacing};
 use crate::settings::Settings;
 use crate::store::Reply;
 use crate::units::{Attempt, Duration, JobId, MachineId, Resources, TaskAttempt, TaskId, Time, Token, Wall};
@@ -134,12 +134,8 @@
     pub(crate) silent_for: Duration,
     /// Whether anything has reached a worker in this term.
     pub(crate) reaches: bool,
-    /// So long inputs wait: planning does less then, so that reports and users come first.
-    pub(crate) behind: Duration,
-    /// How long the last round of planning took, if it was slow.
-    pub(crate) round_took: Duration,
-    /// The share of a full round's looks that the next round may take.
-    pub(crate) look_share: f64,
+    /// How often and how much is planned.
+    pub(crate) pacing: Pacing,
     pub(crate) over: Option<Over>,
     pub(crate) drains: Option<Coordinator>,
     /// When drains had their round last.
@@ -188,9 +184,7 @@
             ticked: now,
             silent_for: Duration(0),
             reaches: false,
-            behind: Duration(0),
-            round_took: Duration(0),
-            look_share: 1.0,
+            pacing: Pacing::default(),
             over: None,
             drains: drains::coordinator(settings, now),
             drained: Time(0),
@@ -237,11 +231,6 @@
         self.machines.values()
     }
 
-    /// The last input took so long. Only rounds of planning are slow.
-    pub(crate) fn spent(&mut self, took: Duration) {
-        self.round_took = took;
-    }
-
     /// Makes a new admission table if one is due.
     pub(crate) fn admission_table(&mut self, now: Time) -> Option<&AdmissionTable> {
         if self.admission.wants_backlog(now) {
@@ -390,7 +379,7 @@
     /// Direct commands that may be under way: fewer when behind, since reports do the same, only later.
     pub(crate) fn commands_at_once(&self) -> usize {
         let most = self.settings.deployment.resources.commands_at_once();
-        (most / (1 + self.behind.0 as usize / 50)).max(FEW_COMMANDS)
+        (most / (1 + self.pacing.behind.0 as usize / 50)).max(FEW_COMMANDS)
     }
 
     /// Sends what is to be sent at once: direct commands and due commits.
--- a/tests/allocations.rs
+++ b/tests/allocations.rs
@@ -6,6 +6,11 @@
 
 use caperstile::controller::{Input, Origin};
 use caperstile::peers::UserCall;
+use caperstile::records::{Event, Record, Records};
+use caperstile::settings::{StateLimits, Tuning};
+use caperstile::store::Reply;
+use caperstile::units::{MachineId, Time, Token};
+use caperstile::upgrade::Format;
 use caperstile::wire::Report;
 use leading::{World, log, report};
 use std::alloc::{GlobalAlloc, Layout, System};
@@ -60,6 +65,9 @@
     let taking =
         mean(texts.len(), |n| world.later(3, Input::Report(Origin::Http(n), reports.next().expect("one each"))));
     let polling = mean(500, |n| world.feed(Input::User(Origin::Http(n), UserCall::Get("job-000012".into()))));
+    let waiting = ticks_of_a_waiting_snapshot();
+    println!("{waiting} for a tick while a snapshot waits");
+    assert!(waiting < 0.5, "{waiting} allocations for a tick while a snapshot waits for the write budget");
     println!("{reading} to read a report, {taking} to take it, {polling} for a poll");
     assert!(reading < READING, "{reading} allocations to read a report of 16 tasks");
     assert!(taking < TAKING, "{taking} allocations to take a report that shows nothing new");
@@ -69,3 +77,28 @@
 const READING: f64 = 8.0;
 const TAKING: f64 = 14.0;
 const POLLING: f64 = 13.0;
+
+/// Each tick, report and request looks at the snapshot's next step. Copying it each time was a fifth of a leader's processor time.
+fn ticks_of_a_waiting_snapshot() -> f64 {
+    let limits = StateLimits { rps: 400.0, write_rps: 30.0, value_kb: 8.0, txn_ops: 24, next: None };
+    let (now, mut out) = (Time(1_000), Vec::new());
+    let mut records = Records::new(Token(5), Format::Two, Time::START, &limits, &Tuning::default());
+    records.start(Time::START, &mut out);
+    let empty = Reply { status: 200, body: r#"{"Pairs": [], "More": false, "Ledger": 5}"#.into() };
+    for id in 1..=2 {
+        records.reply(now, id, &empty, &mut out);
+    }
+    assert!(records.loaded(), "it has read the empty log");
+    records.begin_snapshot((0..20_000).map(|n| Record::Image(MachineId(n), "an-image-with-a-long-name".into())));
+    // Steps are sent until the budget is used up.
+    let mut sent = usize::MAX;
+    while out.len() != sent {
+        sent = out.len();
+        records.tick(now, &mut out);
+        if let Some(Event::Call(id, _)) = out.last() {
+            let done = Reply { status: 200, body: r#"{"Ledger": 9}"#.into() };
+            records.reply(now, *id, &done, &mut Vec::new());
+        }
+    }
+    mean(200, |_| records.tick(now, &mut out))
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 //! Everything is deterministic: one queue of events, fixed seeds, no clocks and no sockets.
 #![allow(dead_code)]
 
+pub mod admission;
 mod cloud;
 pub mod drains;
 mod gangs;
@@ -144,6 +145,12 @@
     /// When the first of its tasks started.
     pub begun: Option<u64>,
     pub accepted_at: u64,
+    pub submitted_at: u64,
+    /// How often its submission was refused by an admission table, and whether its user has given up.
+    pub refused: u32,
+    pub given_up: bool,
+    /// When its user first asked to cancel it, and when that was confirmed.
+    pub cancel_asked_at: Option<u64>,
 }
 
 impl UserJob {
@@ -247,6 +254,10 @@
     pub cut_saves: u64,
     /// What was stopped by command, and how much of it was out at once.
     pub disruption: drains::Disruption,
+    /// Controllers are told that they are busy all the time and that their inputs wait.
+    pub overloaded: bool,
+    /// What nodes decided by their admission tables.
+    pub decisions: admission::Decisions,
     /// Real time that nodes' state machines took, all together, and the longest that one input took.
     pub spent: (std::time::Duration, std::time::Duration),
     checked_at: u64,
@@ -321,6 +332,8 @@
             incomplete: 0,
             cut_saves: 0,
             disruption: drains::Disruption::default(),
+            overloaded: false,
+            decisions: admission::Decisions::default(),
             spent: Default::default(),
             checked_at: 0,
             site,
@@ -437,6 +450,7 @@
             Event::Tick(node, epoch) => {
                 if self.epochs[node] == epoch && self.nodes[node].is_some() {
                     self.feed(node, Input::Tick);
+                    self.tell_load(node);
                     self.after(50, Event::Tick(node, epoch));
                 }
             }
@@ -597,6 +611,10 @@
                 self.send_report(machine);
             }
             Event::Poll(id) => {
+                let job = &self.jobs[&id];
+                if job.given_up && !job.accepted {
+                    return;
+                }
                 self.after(1000, Event::Poll(id.clone()));
                 let job = &self.jobs[&id];
                 // The rule of the operators: no job may go without any answer for 75 s once all is mended.
--- a/tests/support/nodes.rs
+++ b/tests/support/nodes.rs
@@ -181,9 +181,12 @@
         let now = self.clock(node);
         let wall = Wall(1_700_000_000_000 + self.now);
         let Some(controller) = &mut self.nodes[node] else { return };
+        let number = controller.admission_table(now).map(|table| table.number);
+        let asked = admission::submission_of(controller, &input);
         let begin = std::time::Instant::now();
         let effects = controller.handle(now, wall, input);
         let took = begin.elapsed();
+        self.decisions.note(node, number, asked, &effects);
         self.spent = (self.spent.0 + took, self.spent.1.max(took));
         let epoch = self.epochs[node];
         let token = controller.term().map_or(0, |r| r.token().0);
--- a/tests/support/users.rs
+++ b/tests/support/users.rs
@@ -46,6 +46,10 @@
             answered_at: 0,
             begun: None,
             accepted_at: 0,
+            submitted_at: self.now,
+            refused: 0,
+            given_up: false,
+            cancel_asked_at: None,
         };
         self.jobs.insert(id.to_string(), job);
         spec
@@ -60,6 +64,7 @@
     pub fn cancel(&mut self, id: &str) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.cancelling = true;
+            job.cancel_asked_at.get_or_insert(self.now);
         }
         self.note_cancelled(id);
         self.after(0, Event::User(id.to_string(), UserCall::Cancel(id.to_string())));
@@ -123,6 +128,9 @@
         if matches!(answer.status, 503 | 429) {
             self.refused.0 += u64::from(matches!(call, UserCall::Cancel(_)));
             self.refused.1 += u64::from(matches!(call, UserCall::Get(_)));
+            if answer.status == 429 {
+                return self.refused_by_table(id, call, answer.retry_after);
+            }
             if !matches!(call, UserCall::Get(_)) {
                 self.after(1000, Event::User(id.to_string(), call));
             }
