Operators see what is refused: caperstile admission status; benchmarks of a decision and a table

Need: the log of the leader alone told who is refused. Change: the leader writes admission/status every ten seconds on condition of its key; the command shows it, as lines or JSON; what drains and admission commands share stands in operator/mod.rs.

--- /dev/null
+++ b/benches/admission.rs
@@ -0,0 +1,62 @@
+//! What admission costs: a decision by a table, and making a table, with 10, 100 and 1,000 pairs of teams and classes.
+
+use caperstile::units::{Duration, JobId, Time, Token};
+use caperstile_admission::{AdmissionControl, AdmissionPolicy, AdmissionTable, Submission, Utilization};
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use std::hint::black_box;
+
+const PAIRS: [usize; 3] = [10, 100, 1_000];
+
+fn names(pairs: usize) -> Vec<(String, String)> {
+    (0..pairs).map(|n| (format!("team-{}", n % 50), format!("class-{}", n / 50))).collect()
+}
+
+/// A leader that is overloaded by all pairs; it has made a table.
+fn overloaded(names: &[(String, String)]) -> (AdmissionControl, Time) {
+    let mut control = AdmissionControl::new(Token(7), Time(0), AdmissionPolicy::default());
+    let mut now = Time(0);
+    let mut job = 0;
+    for _ in 0..60 {
+        now = now + Duration(1_000);
+        for (team, class) in names.iter().chain(names) {
+            job += 1;
+            control.decide(now, &Submission { job: JobId(job), team, class }, 4);
+            control.accepted(now, JobId(job));
+        }
+        control.observe(now, Utilization(1.0), Duration(800));
+        control.tick(now);
+    }
+    (control, now)
+}
+
+fn admission(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admission");
+    group.sample_size(20);
+    for pairs in PAIRS {
+        let names = names(pairs);
+        let (control, now) = overloaded(&names);
+        let table: AdmissionTable = control.table().clone();
+        assert!(!table.is_open(), "everything is refused in part");
+        let mut job = 0u64;
+        group.bench_with_input(BenchmarkId::new("a decision", pairs), &table, |b, table| {
+            b.iter(|| {
+                job += 1;
+                let (team, class) = &names[job as usize % names.len()];
+                black_box(table.decide(&Submission { job: JobId(job), team, class }))
+            });
+        });
+        group.bench_with_input(BenchmarkId::new("making a table", pairs), &names, |b, names| {
+            b.iter_batched(
+                || overloaded(names).0,
+                |mut control| black_box(control.tick(now + Duration(1_000)).is_some()),
+                BatchSize::LargeInput,
+            );
+        });
+        group.bench_with_input(BenchmarkId::new("its bytes", pairs), &table, |b, table| {
+            b.iter(|| black_box(table.encode()))
+        });
+    }
+}
+
+criterion_group!(benches, admission);
+criterion_main!(benches);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::operator::drain;
+use crate::operator::{admission, drain};
 use crate::settings::Settings;
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
@@ -32,6 +32,8 @@
     },
     /// Empty and return machines of a running service, within the teams' disruption budgets.
     Drain(drain::Arguments),
+    /// Show which submissions a running service refuses.
+    Admission(admission::Arguments),
 }
 
 /// Runs the program.
@@ -39,6 +41,7 @@
     let cli = Cli::parse();
     let (file, operators, start) = match (cli.command, cli.config) {
         (Some(Command::Drain(arguments)), _) => return drain::main(&arguments),
+        (Some(Command::Admission(arguments)), _) => return admission::main(&arguments),
         (Some(Command::Check { file, operators }), _) => (file, operators, false),
         (None, Some(file)) => (file, cli.operators, true),
         (None, None) => return ExitCode::from(2),
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -40,6 +40,8 @@
     Upgrade,
     /// Drains, of the term with this token.
     Drains(u64),
+    /// What operators can read of admission; nobody waits for the answer.
+    Admission,
 }
 
 /// What happens to a node.
@@ -252,6 +254,7 @@
                     term.drain_reply(now, wall, certain, id, &reply, out)
                 });
             }
+            Input::State(Slot::Admission, ..) => {}
             Input::Policy(policy) => {
                 if let Some(term) = &mut self.term {
                     term.set_policy(now, (*policy).clone());
@@ -420,6 +423,9 @@
         {
             out.push(Effect::Publish(Box::new(table.clone())));
         }
+        if let Some(term) = self.term.as_mut().filter(|term| certain && term.loaded()) {
+            term.write_admission_status(now, wall, out);
+        }
         if self.term.as_ref().is_some_and(Term::loaded) && !self.parked.is_empty() {
             self.unpark(now, wall, out);
         }
--- a/src/operator/drain.rs
+++ b/src/operator/drain.rs
@@ -1,9 +1,7 @@
 //! `caperstile drain`: asks for drains, shows them, lets them rest, go on or end.
 
 use super::report;
-use super::request::{DrainError, Requests, Shown};
-use crate::runtime::StateClient;
-use crate::settings::Settings;
+use super::request::{CommandError, Requests, Shown};
 use crate::units::{self, MachineId};
 use caperstile_disruption::records::{Filter, Mode, Phase, Request, Selector, Wanted, valid_name};
 use clap::{ArgGroup, Args, Subcommand};
@@ -12,14 +10,6 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// The arguments or settings cannot be used.
-const EXIT_USAGE: u8 = 2;
-/// The request was not taken.
-const EXIT_REFUSED: u8 = 3;
-/// The state service was not reached; nothing was changed.
-const EXIT_NOT_REACHED: u8 = 4;
-/// Whether the request was or will be carried out is not known.
-const EXIT_IN_DOUBT: u8 = 5;
 /// Tries at a change of a request that other operators change too.
 const TRIES: u32 = 5;
 
@@ -117,34 +107,20 @@
 
 /// Runs a command.
 pub(crate) fn main(arguments: &Arguments) -> ExitCode {
-    let Some(file) = &arguments.config else {
-        eprintln!("caperstile: --config FILE is missing: it names the state service");
-        return ExitCode::from(EXIT_USAGE);
+    let requests = match super::connect(arguments.config.as_deref()) {
+        Ok(requests) => requests,
+        Err(code) => return code,
     };
-    let settings = match Settings::load(file, None) {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("caperstile: {e}");
-            return ExitCode::from(EXIT_USAGE);
-        }
-    };
-    let client = match StateClient::new(settings.external.state) {
-        Ok(client) => client,
-        Err(e) => {
-            eprintln!("caperstile: {e}");
-            return ExitCode::from(EXIT_NOT_REACHED);
-        }
-    };
-    match run(arguments, &Requests::new(client)) {
+    match run(arguments, &requests) {
         Ok(shown) => {
             print(arguments.json, &shown);
             ExitCode::SUCCESS
         }
-        Err(error) => fail(arguments.json, &error),
+        Err(error) => super::fail(arguments.json, &error),
     }
 }
 
-fn run(arguments: &Arguments, requests: &Requests) -> Result<Vec<Shown>, DrainError> {
+fn run(arguments: &Arguments, requests: &Requests) -> Result<Vec<Shown>, CommandError> {
     let patience = Duration::from_secs(arguments.wait);
     match &arguments.action {
         Action::Start(start) => start_drain(requests, &start.name, &start.request(), patience).map(|shown| vec![shown]),
@@ -156,58 +132,58 @@
     }
 }
 
-fn start_drain(requests: &Requests, name: &str, request: &Request, patience: Duration) -> Result<Shown, DrainError> {
+fn start_drain(requests: &Requests, name: &str, request: &Request, patience: Duration) -> Result<Shown, CommandError> {
     if !valid_name(name) {
         let form = "up to 40 of a to z, 0 to 9 and -";
-        return Err(DrainError::Refused(format!("`{name}` is no name for a drain: {form}")));
+        return Err(CommandError::Refused(format!("`{name}` is no name for a drain: {form}")));
     }
     // Asked for twice, by one operator or by two, it is the same drain.
     let revision = match requests.write(name, request, 0)? {
         Some(revision) => revision,
         None => match requests.request(name)? {
             Some((found, revision)) if (&found.selector, found.mode) == (&request.selector, request.mode) => revision,
-            _ => return Err(DrainError::Refused(format!("there is another drain {name}; choose another name"))),
+            _ => return Err(CommandError::Refused(format!("there is another drain {name}; choose another name"))),
         },
     };
     answered(requests, name, revision, patience)
 }
 
 /// Waits for the leader's answer to what was asked.
-fn answered(requests: &Requests, name: &str, revision: u64, patience: Duration) -> Result<Shown, DrainError> {
+fn answered(requests: &Requests, name: &str, revision: u64, patience: Duration) -> Result<Shown, CommandError> {
     let status = requests.await_status(name, revision, patience)?;
     if status.phase == Phase::Refused {
-        return Err(DrainError::Refused(status.refusal.unwrap_or_default()));
+        return Err(CommandError::Refused(status.refusal.unwrap_or_default()));
     }
     let request = requests.request(name)?.map(|(request, _)| request);
     Ok(Shown { name: name.to_string(), request, status: Some(status) })
 }
 
-fn change(requests: &Requests, name: &str, wanted: Wanted, patience: Duration) -> Result<Shown, DrainError> {
+fn change(requests: &Requests, name: &str, wanted: Wanted, patience: Duration) -> Result<Shown, CommandError> {
     for _ in 0..TRIES {
         let Some((request, revision)) = requests.request(name)? else {
-            return Err(DrainError::Refused(format!("there is no drain {name}")));
+            return Err(CommandError::Refused(format!("there is no drain {name}")));
         };
         let phase = requests.show(name)?.status.map(|status| status.phase);
         match (phase, request.wanted) {
-            (Some(Phase::Done), _) => return Err(DrainError::Refused(format!("drain {name} is done"))),
-            (Some(Phase::Refused), _) => return Err(DrainError::Refused(format!("drain {name} was refused"))),
+            (Some(Phase::Done), _) => return Err(CommandError::Refused(format!("drain {name} is done"))),
+            (Some(Phase::Refused), _) => return Err(CommandError::Refused(format!("drain {name} was refused"))),
             (_, before) if before == wanted => return answered(requests, name, revision, patience),
-            (_, Wanted::Cancel) => return Err(DrainError::Refused(format!("drain {name} was called off"))),
+            (_, Wanted::Cancel) => return Err(CommandError::Refused(format!("drain {name} was called off"))),
             _ => {}
         }
         if let Some(written) = requests.write(name, &Request { wanted, ..request }, revision)? {
             return answered(requests, name, written, patience).and_then(|shown| in_time(shown, wanted));
         }
     }
-    Err(DrainError::Refused(format!("others are changing drain {name}; nothing was changed, try again")))
+    Err(CommandError::Refused(format!("others are changing drain {name}; nothing was changed, try again")))
 }
 
 /// A drain may end before a change reaches the leader.
-fn in_time(shown: Shown, wanted: Wanted) -> Result<Shown, DrainError> {
+fn in_time(shown: Shown, wanted: Wanted) -> Result<Shown, CommandError> {
     let phase = shown.status.as_ref().map(|status| status.phase);
     match (phase, wanted) {
         (Some(Phase::Done), Wanted::Pause | Wanted::Cancel) => {
-            Err(DrainError::Refused(format!("drain {} was done before", shown.name)))
+            Err(CommandError::Refused(format!("drain {} was done before", shown.name)))
         }
         _ => Ok(shown),
     }
@@ -225,17 +201,3 @@
         println!("{line}");
     }
 }
-
-fn fail(json: bool, error: &DrainError) -> ExitCode {
-    let (code, kind) = match error {
-        DrainError::Refused(_) => (EXIT_REFUSED, "refused"),
-        DrainError::NotReached(_) => (EXIT_NOT_REACHED, "not_reached"),
-        DrainError::InDoubt(_) => (EXIT_IN_DOUBT, "in_doubt"),
-    };
-    if json {
-        println!("{}", json!({"error": kind, "reason": error.to_string()}));
-    } else {
-        eprintln!("caperstile: {error}");
-    }
-    ExitCode::from(code)
-}
--- a/src/operator/request.rs
+++ b/src/operator/request.rs
@@ -15,7 +15,7 @@
 
 /// Why a command did not do what was asked.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum DrainError {
+pub(crate) enum CommandError {
     #[error("refused: {0}")]
     Refused(String),
     #[error("not reached: {0}; nothing was changed")]
@@ -44,7 +44,7 @@
     }
 
     /// Asks again as long as nothing was done.
-    fn ask(&self, call: &StateCall) -> Result<Reply, DrainError> {
+    fn ask(&self, call: &StateCall) -> Result<Reply, CommandError> {
         let mut last = Reply::none();
         for attempt in 0..TRIES {
             if attempt > 0 {
@@ -58,12 +58,13 @@
             }
         }
         let what = if last.status == 0 { "does not answer".into() } else { format!("answers {}", last.status) };
-        Err(DrainError::NotReached(format!("the state service {what}")))
+        Err(CommandError::NotReached(format!("the state service {what}")))
     }
 
-    fn get<T: serde::de::DeserializeOwned>(&self, key: &str) -> Result<Option<(T, u64)>, DrainError> {
+    /// What stands under a key, and its revision.
+    pub(crate) fn get<T: serde::de::DeserializeOwned>(&self, key: &str) -> Result<Option<(T, u64)>, CommandError> {
         let reply = self.ask(&StateCall::Get(key.to_string()))?;
-        let unreadable = || DrainError::Refused(format!("what stands under {key} cannot be read"));
+        let unreadable = || CommandError::Refused(format!("what stands under {key} cannot be read"));
         match reply.status {
             404 => Ok(None),
             _ => {
@@ -75,14 +76,14 @@
     }
 
     /// A request and its revision.
-    pub(crate) fn request(&self, name: &str) -> Result<Option<(Request, u64)>, DrainError> {
+    pub(crate) fn request(&self, name: &str) -> Result<Option<(Request, u64)>, CommandError> {
         self.get(&request_key(name))
     }
 
     /// Writes a request on condition that it has this revision, 0: that there is none. `None`: another operator was faster.
-    pub(crate) fn write(&self, name: &str, request: &Request, revision: u64) -> Result<Option<u64>, DrainError> {
+    pub(crate) fn write(&self, name: &str, request: &Request, revision: u64) -> Result<Option<u64>, CommandError> {
         let key = request_key(name);
-        let value = serde_json::to_value(request).map_err(|e| DrainError::Refused(e.to_string()))?;
+        let value = serde_json::to_value(request).map_err(|e| CommandError::Refused(e.to_string()))?;
         let put = Change::Put { key: key.clone(), value, lease: None };
         let txn = Txn { conditions: vec![condition(&key, Revision(revision))], changes: vec![put] };
         let reply = self.ask(&StateCall::Txn(txn))?;
@@ -90,22 +91,22 @@
             200 => Ok(reply.parse::<TxnAnswer>().map(|answer| answer.revision)),
             409 => Ok(None),
             0 => self.settle(name, request, revision),
-            _ => Err(DrainError::Refused(format!("the state service answers {} to the request", reply.status))),
+            _ => Err(CommandError::Refused(format!("the state service answers {} to the request", reply.status))),
         }
     }
 
     /// After a write without an answer: it is told from the key, if it was carried out.
-    fn settle(&self, name: &str, request: &Request, before: u64) -> Result<Option<u64>, DrainError> {
+    fn settle(&self, name: &str, request: &Request, before: u64) -> Result<Option<u64>, CommandError> {
         let doubt = "the state service did not answer: the request may have been carried out, or may yet be";
         match self.request(name) {
             Ok(Some((found, revision))) if revision > before && found == *request => Ok(Some(revision)),
             Ok(Some((_, revision))) if revision > before => Ok(None),
-            _ => Err(DrainError::InDoubt(format!("{doubt}; `drain status {name}` will tell"))),
+            _ => Err(CommandError::InDoubt(format!("{doubt}; `drain status {name}` will tell"))),
         }
     }
 
     /// Waits until a leader has answered what stands in the request since this revision.
-    pub(crate) fn await_status(&self, name: &str, revision: u64, patience: Duration) -> Result<Status, DrainError> {
+    pub(crate) fn await_status(&self, name: &str, revision: u64, patience: Duration) -> Result<Status, CommandError> {
         let begin = Instant::now();
         loop {
             let status = self.get::<Status>(&status_key(name))?.map(|(status, _)| status);
@@ -113,7 +114,7 @@
                 return Ok(status);
             }
             if begin.elapsed() >= patience {
-                return Err(DrainError::InDoubt(format!(
+                return Err(CommandError::InDoubt(format!(
                     "the request stands, but no leader has taken it up within {} s; it will as soon as one leads that has \
                      [drains] enabled = yes and has heard of all machines; `drain status {name}` will tell",
                     patience.as_secs()
@@ -124,17 +125,17 @@
     }
 
     /// One drain.
-    pub(crate) fn show(&self, name: &str) -> Result<Shown, DrainError> {
+    pub(crate) fn show(&self, name: &str) -> Result<Shown, CommandError> {
         let request = self.request(name)?.map(|(request, _)| request);
         let status = self.get(&status_key(name))?.map(|(status, _)| status);
         if request.is_none() && status.is_none() {
-            return Err(DrainError::Refused(format!("there is no drain {name}")));
+            return Err(CommandError::Refused(format!("there is no drain {name}")));
         }
         Ok(Shown { name: name.to_string(), request, status })
     }
 
     /// All drains, in the order in which they were asked for.
-    pub(crate) fn show_all(&self) -> Result<Vec<Shown>, DrainError> {
+    pub(crate) fn show_all(&self) -> Result<Vec<Shown>, CommandError> {
         let mut requests: BTreeMap<String, (Request, u64)> = self.scan(REQUESTS)?;
         let statuses: BTreeMap<String, (Status, u64)> = self.scan(STATUSES)?;
         let mut shown = Vec::new();
@@ -149,13 +150,13 @@
         Ok(shown.into_iter().map(|(_, shown)| shown).collect())
     }
 
-    fn scan<T: serde::de::DeserializeOwned>(&self, prefix: &str) -> Result<BTreeMap<String, (T, u64)>, DrainError> {
+    fn scan<T: serde::de::DeserializeOwned>(&self, prefix: &str) -> Result<BTreeMap<String, (T, u64)>, CommandError> {
         let mut found = BTreeMap::new();
         let mut after = None;
         loop {
             let reply = self.ask(&StateCall::Scan { prefix: prefix.to_string(), after: after.take() })?;
             let Some(page) = reply.parse::<KeyPage>() else {
-                return Err(DrainError::NotReached("the state service's answer cannot be read".into()));
+                return Err(CommandError::NotReached("the state service's answer cannot be read".into()));
             };
             after = page.items.last().filter(|_| page.more).map(|item| item.key.clone());
             for item in page.items {
--- a/src/term.rs
+++ b/src/term.rs
@@ -22,7 +22,7 @@
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-mod backlog;
+mod admission;
 mod facts;
 mod reports;
 mod tasks;
@@ -119,6 +119,7 @@
     attempts: u64,
     pub(crate) commands: u64,
     pub(crate) admission: AdmissionControl,
+    admission_written: admission::StatusWritten,
     accepting: HashMap<JobId, Vec<Waiter>>,
     cancelling: HashMap<JobId, Vec<Waiter>>,
     /// Finished attempts that may be reaped once their finish is durable.
@@ -173,6 +174,7 @@
             opened: false,
             attempts: 0,
             commands: 0,
+            admission_written: admission::StatusWritten::default(),
             admission: AdmissionControl::new(token, now, settings.admission.clone()),
             accepting: HashMap::new(),
             cancelling: HashMap::new(),
@@ -231,27 +233,6 @@
         self.machines.values()
     }
 
-    /// Makes a new admission table if one is due.
-    pub(crate) fn admission_table(&mut self, now: Time) -> Option<&AdmissionTable> {
-        if self.admission.wants_backlog(now) {
-            let waiting = self.backlog_by_pair(now);
-            self.admission.observe_backlog(now, waiting);
-        }
-        let made = self.admission.tick(now).is_some();
-        for change in self.admission.take_changes() {
-            match self.admission.status_of(now, &change.pair).filter(|_| change.refused) {
-                Some(status) => info!("refusing submissions {status}"),
-                None => info!("admitting all submissions pair={}", change.pair),
-            }
-        }
-        if made && log::log_enabled!(log::Level::Debug) {
-            for pair in self.admission.status(now).iter().filter(|pair| pair.refused_since.is_some()) {
-                debug!("admission {pair}");
-            }
-        }
-        made.then(|| self.admission.table())
-    }
-
     /// Those who wait for a commit are told to come back.
     pub fn abdicate(self, out: &mut Vec<Effect>) {
         for waiter in self.accepting.into_values().chain(self.cancelling.into_values()).flatten() {
--- /dev/null
+++ b/src/term/admission.rs
@@ -0,0 +1,104 @@
+//! Where admission meets the term: what it is shown, its tables, and what operators can read of it.
+
+use super::*;
+use crate::store::{StateCall, condition};
+use crate::units::Revision;
+use crate::wire::{Change, Txn};
+use caperstile_admission::{AdmissionStatus, Pair, PairBacklog, RefusedPair, STATUS_KEY};
+
+/// Jobs of a class with an aim at finishing may wait for this part of its time; the rest is for running.
+const WAIT_SHARE: f64 = 1.0 / 3.0;
+/// How long jobs of other classes may wait.
+const DEFAULT_WAIT: Duration = Duration(120_000);
+/// How often what operators can read is written, while something is refused.
+const STATUS_EVERY: Duration = Duration(10_000);
+/// Bytes of a value that are not the status.
+const VALUE_MARGIN: usize = 64;
+
+/// What was written last for operators.
+#[derive(Debug, Default)]
+pub(super) struct StatusWritten {
+    at: Time,
+    /// Whether it said that something is refused.
+    refusing: bool,
+    calls: u64,
+}
+
+impl Term {
+    /// Makes a new admission table if one is due.
+    pub(crate) fn admission_table(&mut self, now: Time) -> Option<&AdmissionTable> {
+        if self.admission.wants_backlog(now) {
+            let waiting = self.backlog_by_pair(now);
+            self.admission.observe_backlog(now, waiting);
+        }
+        let made = self.admission.tick(now).is_some();
+        for change in self.admission.take_changes() {
+            match self.admission.status_of(now, &change.pair).filter(|_| change.refused) {
+                Some(status) => info!("refusing submissions {status}"),
+                None => info!("admitting all submissions pair={}", change.pair),
+            }
+        }
+        if made && log::log_enabled!(log::Level::Debug) {
+            for pair in self.admission.status(now).iter().filter(|pair| pair.refused_since.is_some()) {
+                debug!("admission {pair}");
+            }
+        }
+        made.then(|| self.admission.table())
+    }
+
+    /// Writes what operators can read, now and then while something is refused and once when that is over. Nobody waits for it: what is
+    /// lost is written again, or is old enough to be told from a refusal that goes on.
+    pub(crate) fn write_admission_status(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
+        if now.since(self.admission_written.at) < STATUS_EVERY {
+            return;
+        }
+        let status = self.admission.status(now);
+        let refused: Vec<RefusedPair> = status.iter().filter_map(|pair| RefusedPair::of(pair, now)).collect();
+        if refused.is_empty() && !self.admission_written.refusing {
+            return;
+        }
+        self.admission_written.at = now;
+        self.admission_written.refusing = !refused.is_empty();
+        self.admission_written.calls += 1;
+        let status = AdmissionStatus {
+            token: self.token,
+            sequence: self.admission.table().number.sequence,
+            at: wall,
+            limit: self.admission.limit(),
+            refused,
+            left_out: 0,
+        };
+        let bytes = (self.settings.deployment.state.value_kb_always() * 1024.0) as usize;
+        let value = serde_json::to_value(status.fit(bytes.saturating_sub(VALUE_MARGIN))).unwrap_or_default();
+        let txn = Txn {
+            conditions: vec![condition(self.format.leader_key(), Revision(self.token.0))],
+            changes: vec![Change::Put { key: STATUS_KEY.into(), value, lease: None }],
+        };
+        out.push(Effect::State(Slot::Admission, self.admission_written.calls, StateCall::Txn(txn)));
+    }
+
+    /// What waits of each team's classes whose jobs end by themselves. Services are left out: they wait for machines that boot.
+    pub(super) fn backlog_by_pair(&self, now: Time) -> BTreeMap<Pair, PairBacklog> {
+        let mut waiting: BTreeMap<(&str, &str), PairBacklog> = BTreeMap::new();
+        for job in self.jobs.waiting().filter(|job| !job.record.service && job.durable && !job.cancelling) {
+            if job.not_before > now {
+                // It failed on several machines, and waits for that.
+                continue;
+            }
+            let (team, class) = (job.record.team.as_str(), job.record.class.as_str());
+            let none = || PairBacklog { waiting_tasks: 0, oldest: None, longest_wait: self.longest_wait(class) };
+            let entry = waiting.entry((team, class)).or_insert_with(none);
+            entry.waiting_tasks += u64::from(job.pending.len());
+            if job.placed.is_empty() && job.done.is_empty() {
+                entry.oldest = Some(entry.oldest.map_or(job.submitted, |oldest| oldest.min(job.submitted)));
+            }
+        }
+        waiting.into_iter().map(|((team, class), backlog)| (Pair::new(team, class), backlog)).collect()
+    }
+
+    fn longest_wait(&self, class: &str) -> Duration {
+        let of_class = self.settings.deployment.objectives.iter().filter(|o| o.kind == "finished" && o.class == class);
+        let longest = of_class.filter_map(|o| o.within_s).reduce(f64::max);
+        longest.map_or(DEFAULT_WAIT, |within| Duration::secs(within * WAIT_SHARE))
+    }
+}
--- a/tests/overload_processes.rs
+++ b/tests/overload_processes.rs
@@ -4,6 +4,7 @@
 
 mod support;
 
+use serde_json::json;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 use support::stage::{Load, NODES, Stage};
@@ -138,6 +139,10 @@
 fn all_controllers_refuse_a_flood_and_admit_what_is_quiet_although_the_leader_is_killed() {
     let (stage, users) = flood("overload", 32);
     assert!(stage.world().broken.is_empty(), "{:?}", stage.world().broken);
+    let (code, shown) = stage.admission_status();
+    assert_eq!((code, &shown["refusing"]), (0, &json!(true)), "{shown}");
+    let pairs = shown["status"]["refused"].as_array().expect("pairs");
+    assert!(pairs.iter().all(|pair| pair["team"] == "studio" && pair["class"] == "flood"), "{shown}");
     assert!(users.refused_by.iter().all(|refused| *refused > 0), "refusals by node: {:?}", users.refused_by);
     let (flood, desk) = (&users.outcomes["flood"], &users.outcomes["desk"]);
     assert_eq!(desk.refused, 0, "the quiet class: {desk:?}");
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -444,6 +444,14 @@
         (status.code().unwrap_or(-1), serde_json::from_slice(&stdout).unwrap_or_default())
     }
 
+    /// What `caperstile admission status` says; exit code and what it wrote.
+    pub fn admission_status(&self) -> (i32, Value) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_caperstile"));
+        command.args(["admission", "status", "--json", "--config"]).arg(&self.files[0]).stdin(Stdio::null());
+        let Output { status, stdout, .. } = command.output().expect("the program runs");
+        (status.code().unwrap_or(-1), serde_json::from_slice(&stdout).unwrap_or_default())
+    }
+
     /// How a drain stands.
     pub fn status(&self, name: &str) -> Value {
         self.drain(&["status", name]).1["drains"][0]["status"].clone()
