--- a/crates/admission/tests/control.rs
+++ b/crates/admission/tests/control.rs
@@ -314,6 +314,21 @@
     assert!(flooding < 200 && quiet == 10, "{flooding} and {quiet}");
 }
 
+#[test]
+fn refused_users_are_drawn_anew_when_they_come_back() {
+    let flows = [flow("flooding", "x", 50.0, 1)];
+    let mut cluster = Cluster::new(1, &flows, AdmissionPolicy::default());
+    cluster.play(60, &flows, carries(5.0));
+    let draw = cluster.control.table().draw;
+    cluster.play(40, &flows, carries(5.0));
+    // A draw lasts eight seconds, which is when the first of them come back.
+    assert!(
+        (4..=5).contains(&(cluster.control.table().draw - draw)),
+        "{} draws in 40 s",
+        cluster.control.table().draw - draw
+    );
+}
+
 #[test]
 fn memory_is_bounded_whatever_names_are_invented() {
     let mut control = AdmissionControl::new(TOKEN, Time(0), AdmissionPolicy::default());
