Admission: a team that invents classes is refused like any other; one loop for random faults

Cause: a class that no table knows was admitted in full, so that a flood with a class of its own for each job passed. Change: 32 classes of a team are told apart, all others share an entry, which counts for every class without one.

--- a/crates/admission/src/control.rs
+++ b/crates/admission/src/control.rs
@@ -6,11 +6,11 @@
 use crate::fair_share::{Claim, max_min};
 use crate::policy::{AdmissionPolicy, BacklogBound};
 use crate::report::DemandReport;
-use crate::submission::{Pair, Submission};
+use crate::submission::{OTHER_CLASSES, Pair, Submission};
 use crate::table::{AdmissionTable, DRAW_LENGTH, Decision, Ratio, TableEntry, TableNumber};
 use caperstile_units::{Duration, JobId, Time, Token};
 use roaring::RoaringTreemap;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 
 /// How often a table is made while something is refused.
@@ -101,6 +101,9 @@
     /// Goes on with the limit and the ratios of the leader before, until it knows the demand itself. Those who had to wait while nobody
     /// led come all at once.
     pub fn inherit(&mut self, now: Time, table: &AdmissionTable) {
+        if !self.policy.enabled {
+            return;
+        }
         if let Some(limit) = table.limit {
             self.regulator.inherit(limit);
         }
@@ -264,11 +267,12 @@
             let claims: Vec<Claim> =
                 classes.iter().map(|claim| Claim { weight: 1.0, demand: claim.admissible }).collect();
             for (claim, share) in classes.iter().zip(max_min(share, &claims)) {
-                if share < WORTH_REFUSING * claim.asked {
-                    entries.push(TableEntry { pair: claim.pair.clone(), ratio: Ratio::of(share / claim.asked) });
-                }
+                let refused = share < WORTH_REFUSING * claim.asked;
+                let ratio = if refused { Ratio::of(share / claim.asked) } else { Ratio::ALL };
+                entries.push(TableEntry { pair: claim.pair.clone(), ratio });
             }
         }
+        drop_unneeded(&mut entries);
         entries
     }
 
@@ -306,7 +310,7 @@
     /// Notes which pairs are refused. A refusal is over only after some time without: a pair at its limit would else be said to begin and
     /// cease with every table.
     fn note_changes(&mut self, now: Time, entries: &[TableEntry]) {
-        for entry in entries {
+        for entry in entries.iter().filter(|entry| entry.ratio < Ratio::ALL) {
             match self.refused_since.get_mut(&entry.pair) {
                 Some(refused) => refused.last = now,
                 None => {
@@ -325,6 +329,14 @@
     }
 }
 
+/// Leaves out entries that admit everything, but for teams whose other classes are refused together.
+fn drop_unneeded(entries: &mut Vec<TableEntry>) {
+    let refused_together = |entry: &&TableEntry| entry.pair.class == OTHER_CLASSES && entry.ratio < Ratio::ALL;
+    let teams: BTreeSet<String> =
+        entries.iter().filter(refused_together).map(|entry| entry.pair.team.clone()).collect();
+    entries.retain(|entry| entry.ratio < Ratio::ALL || teams.contains(&entry.pair.team));
+}
+
 /// What one pair asks for, and what it may have of it.
 struct PairClaim<'a> {
     pair: &'a Pair,
--- a/crates/admission/src/demand.rs
+++ b/crates/admission/src/demand.rs
@@ -1,6 +1,6 @@
 //! How much each pair asks for and gets.
 
-use crate::submission::{Cost, Pair};
+use crate::submission::{Cost, OTHER_CLASSES, Pair};
 use caperstile_units::{Duration, Time};
 use std::collections::BTreeMap;
 
@@ -8,10 +8,9 @@
 const TIME_CONSTANT: Duration = Duration(5_000);
 /// A pair that has asked for nothing for so long is forgotten.
 const FORGET_AFTER: Duration = Duration(120_000);
-/// Pairs that are kept apart; what comes beyond shares the entry of its team.
+/// Pairs that are kept apart, and classes of one team; what comes beyond shares an entry of its team.
 const MOST_PAIRS: usize = 4_096;
-/// The class under which a team's other classes are counted once there are too many pairs.
-const OTHER_CLASSES: &str = "";
+const MOST_CLASSES: usize = 32;
 
 /// What one pair asked for and got.
 #[derive(Debug, Clone)]
@@ -38,11 +37,13 @@
 
 impl DemandMeter {
     fn key(&self, pair: &Pair) -> Pair {
-        if self.pairs.contains_key(pair) || self.pairs.len() < MOST_PAIRS {
-            pair.clone()
-        } else {
-            Pair::new(&pair.team, OTHER_CLASSES)
-        }
+        let room = || self.pairs.len() < MOST_PAIRS && self.classes_of(&pair.team) < MOST_CLASSES;
+        if self.pairs.contains_key(pair) || room() { pair.clone() } else { Pair::new(&pair.team, OTHER_CLASSES) }
+    }
+
+    fn classes_of(&self, team: &str) -> usize {
+        let from = Pair::new(team, OTHER_CLASSES);
+        self.pairs.range(from..).take_while(|(pair, _)| pair.team == team).count()
     }
 
     fn entry(&mut self, now: Time, pair: &Pair) -> &mut PairDemand {
--- a/crates/admission/src/submission.rs
+++ b/crates/admission/src/submission.rs
@@ -16,6 +16,9 @@
     pub class: String,
 }
 
+/// Stands for all classes of a team that are not told apart. No job has it: names are not empty.
+pub(crate) const OTHER_CLASSES: &str = "";
+
 impl Pair {
     /// The pair of these names.
     pub fn new(team: &str, class: &str) -> Pair {
--- a/crates/admission/src/table.rs
+++ b/crates/admission/src/table.rs
@@ -2,7 +2,7 @@
 
 use crate::codec::{self, DecodeError};
 use crate::hash::{self, Purpose};
-use crate::submission::{Pair, Submission};
+use crate::submission::{OTHER_CLASSES, Pair, Submission};
 use caperstile_units::{Duration, JobId, Token};
 use roaring::RoaringTreemap;
 use std::collections::BTreeMap;
@@ -82,8 +82,8 @@
     pub draw: u32,
     /// The cost per second that the leader admits at the most, for the next leader to begin with.
     pub limit: Option<f64>,
-    /// Pairs of which not everything is admitted.
-    refused: BTreeMap<String, BTreeMap<String, Ratio>>,
+    /// By team and class.
+    ratios: BTreeMap<String, BTreeMap<String, Ratio>>,
     /// Jobs that were accepted not long ago: a repeat of such a submission is never refused.
     accepted: RoaringTreemap,
 }
@@ -111,10 +111,10 @@
 impl AdmissionTable {
     /// A table that refuses nothing.
     pub fn open(number: TableNumber, draw: u32) -> AdmissionTable {
-        AdmissionTable { number, draw, limit: None, refused: BTreeMap::new(), accepted: RoaringTreemap::new() }
+        AdmissionTable { number, draw, limit: None, ratios: BTreeMap::new(), accepted: RoaringTreemap::new() }
     }
 
-    /// A table of these entries; those that admit everything need none.
+    /// A table of these entries. Those that admit everything are needed only beside one for all other classes of their team.
     pub fn new(
         number: TableNumber,
         draw: u32,
@@ -123,10 +123,12 @@
     ) -> AdmissionTable {
         let mut table = AdmissionTable { accepted, ..AdmissionTable::open(number, draw) };
         for TableEntry { pair, ratio } in entries {
-            if ratio < Ratio::ALL {
-                table.refused.entry(pair.team).or_default().insert(pair.class, ratio);
-            }
+            table.ratios.entry(pair.team).or_default().insert(pair.class, ratio);
         }
+        for classes in table.ratios.values_mut().filter(|classes| !classes.contains_key(OTHER_CLASSES)) {
+            classes.retain(|_, ratio| *ratio < Ratio::ALL);
+        }
+        table.ratios.retain(|_, classes| !classes.is_empty());
         table
     }
 
@@ -137,17 +139,18 @@
 
     /// Whether it refuses nothing.
     pub fn is_open(&self) -> bool {
-        self.refused.is_empty()
+        self.ratios.is_empty()
     }
 
     /// The share that is admitted of a team's class.
     pub fn ratio(&self, team: &str, class: &str) -> Ratio {
-        self.refused.get(team).and_then(|classes| classes.get(class)).copied().unwrap_or(Ratio::ALL)
+        let of_class = |classes: &BTreeMap<String, Ratio>| classes.get(class).or(classes.get(OTHER_CLASSES)).copied();
+        self.ratios.get(team).and_then(of_class).unwrap_or(Ratio::ALL)
     }
 
-    /// The pairs of which not everything is admitted.
+    /// All entries.
     pub fn entries(&self) -> impl Iterator<Item = (&str, &str, Ratio)> {
-        self.refused
+        self.ratios
             .iter()
             .flat_map(|(team, classes)| classes.iter().map(|(class, ratio)| (team.as_str(), class.as_str(), *ratio)))
     }
--- a/crates/admission/tests/control.rs
+++ b/crates/admission/tests/control.rs
@@ -339,7 +339,31 @@
         control.decide(Time(1_000), &Submission { job: JobId(n), team: "crew", class: &class }, 1);
     }
     let pairs = control.status(Time(1_000)).len();
-    assert!(pairs <= 4_097, "{pairs} pairs");
+    assert!(pairs <= 33, "{pairs} pairs of one team");
+}
+
+/// A class of its own for each job would else be new to every table, and admitted.
+#[test]
+fn a_team_that_invents_classes_is_refused_like_any_other() {
+    let mut control = AdmissionControl::new(TOKEN, Time(0), AdmissionPolicy::default());
+    let (mut admitted, mut quiet, mut usual) = (0, 0, 0);
+    for second in 1..=120u64 {
+        let now = Time(second * 1_000);
+        let mut decide = |job: u64, team: &str, class: &str| {
+            control.decide(now, &Submission { job: JobId(job), team, class }, 1) == Decision::Admit
+        };
+        // The team has a class that it uses all the time, too.
+        usual += u64::from(decide(second * 1_000, "inventive", "usual"));
+        quiet += u64::from(decide(second * 1_000 + 1, "quiet", "desk"));
+        for n in 2..52 {
+            admitted += u64::from(decide(second * 1_000 + n, "inventive", &format!("class-{second}-{n}")));
+        }
+        control.observe(now, BUSY, QUEUEING);
+        control.tick(now);
+    }
+    assert!(admitted < 6_000 / 4, "{admitted} of 6,000 in classes of their own");
+    assert!(quiet > 70, "{quiet} of 120 of a quiet team");
+    assert!(usual > 0, "{usual} of 120 of the usual class");
 }
 
 #[test]
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -260,6 +260,18 @@
     ]
 }
 
+/// Injects faults, each so long after the one before; when the last one was. No rule may be broken on the way.
+fn play(sim: &mut Sim, begin: u64, faults: &[(u64, Fault)]) -> Result<u64, TestCaseError> {
+    let mut at = begin;
+    for (gap, fault) in faults {
+        at = at.max(sim.now) + gap;
+        sim.run_until(at);
+        inject(sim, fault);
+        prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
+    }
+    Ok(at)
+}
+
 /// What was accepted has come to its end, or runs in full.
 fn all_ended(sim: &Sim) -> Result<(), TestCaseError> {
     for (id, job) in sim.jobs.iter().filter(|(_, j)| j.accepted) {
@@ -284,13 +296,7 @@
     ) {
         let mut sim = Sim::new(seed);
         sim.submit("job-000001", &spread_service());
-        let mut at = 8000;
-        for (gap, fault) in &faults {
-            at = at.max(sim.now) + gap;
-            sim.run_until(at);
-            inject(&mut sim, fault);
-            prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
-        }
+        let at = play(&mut sim, 8000, &faults)?;
         // All is mended: what was accepted must end.
         sim.mend();
         sim.run_until(at + 300_000);
@@ -312,13 +318,7 @@
         }
         sim.run_until(20_000);
         inject(&mut sim, &Fault::Drain(0, 0));
-        let mut at = 20_000;
-        for (gap, fault) in &faults {
-            at = at.max(sim.now) + gap;
-            sim.run_until(at);
-            inject(&mut sim, fault);
-            prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
-        }
+        let at = play(&mut sim, 20_000, &faults)?;
         sim.mend();
         for n in 0..4 {
             inject(&mut sim, &Fault::ChangeDrain(n, 0));
@@ -350,13 +350,7 @@
         let mut sim = Sim::at(Site { operators: "[admission]\nbound_backlog = always\n", ..Site::small() }, seed);
         sim.submit("job-000001", &spread_service());
         sim.overloaded = true;
-        let mut at = 8000;
-        for (gap, fault) in &faults {
-            at = at.max(sim.now) + gap;
-            sim.run_until(at);
-            inject(&mut sim, fault);
-            prop_assert!(sim.broken.is_empty(), "{:?}", sim.broken);
-        }
+        let at = play(&mut sim, 8000, &faults)?;
         sim.mend();
         sim.overloaded = false;
         sim.run_until(at + 300_000);
