Admission: nothing is made for operators while nothing is refused; twins joined

Found on a last reading: the status of all pairs was made with every tick, 20 times a second, although nothing is refused and nothing written; a cheap question comes first. The decay of three averages, and what both operators' commands are told, stood twice or three times. Behaviour stays as it is.

--- a/crates/admission/src/backlog.rs
+++ b/crates/admission/src/backlog.rs
@@ -1,5 +1,6 @@
 //! How long the jobs of a pair wait for machines, and what that leaves to be admitted.
 
+use crate::decay;
 use crate::submission::Pair;
 use caperstile_units::{Duration, Time};
 use std::collections::BTreeMap;
@@ -48,9 +49,8 @@
 
     /// What waits now, of all pairs that have anything waiting.
     pub fn observe(&mut self, now: Time, waiting: BTreeMap<Pair, PairBacklog>) {
-        let passed = now.since(self.decayed_at);
+        let kept = decay::kept(now.since(self.decayed_at), TIME_CONSTANT);
         self.decayed_at = now;
-        let kept = (-passed.as_secs() / TIME_CONSTANT.as_secs()).exp();
         self.starts.values_mut().for_each(|starts| *starts *= kept);
         self.starts.retain(|pair, starts| *starts > 0.001 || waiting.contains_key(pair));
         self.waiting = waiting;
--- a/crates/admission/src/capacity.rs
+++ b/crates/admission/src/capacity.rs
@@ -1,5 +1,6 @@
 //! How much can be admitted, found by additive increase and multiplicative decrease.
 
+use crate::decay;
 use caperstile_units::{Duration, Time};
 
 /// The share of the time for which a controller was busy.
@@ -55,7 +56,7 @@
     /// Takes a measurement: how busy the node was lately, how long its inputs waited, and the cost per second that was asked for and
     /// admitted.
     pub fn observe(&mut self, now: Time, utilization: Utilization, queueing: Duration, demanded: f64, admitted: f64) {
-        let kept = (-now.since(self.observed_at).as_secs() / TIME_CONSTANT.as_secs()).exp();
+        let kept = decay::kept(now.since(self.observed_at), TIME_CONSTANT);
         self.observed_at = now;
         self.utilization = self.utilization * kept + utilization.0 * (1.0 - kept);
         self.queueing_s = self.queueing_s * kept + queueing.as_secs() * (1.0 - kept);
--- a/crates/admission/src/control.rs
+++ b/crates/admission/src/control.rs
@@ -207,6 +207,11 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Whether any pair is refused, or was until not long ago.
+    pub fn is_refusing(&self) -> bool {
+        !self.refused_since.is_empty()
+    }
+
     /// What each pair asks for and gets.
     pub fn status(&self, now: Time) -> Vec<PairStatus> {
         self.demand.pairs().map(|(pair, demand)| self.pair_status(now, pair, demand)).collect()
--- a/crates/admission/src/demand.rs
+++ b/crates/admission/src/demand.rs
@@ -1,5 +1,6 @@
 //! How much each pair asks for and gets.
 
+use crate::decay;
 use crate::submission::{Cost, OTHER_CLASSES, Pair};
 use caperstile_units::{Duration, Time};
 use std::collections::BTreeMap;
@@ -69,9 +70,8 @@
 
     /// Lets time pass.
     pub fn decay(&mut self, now: Time) {
-        let passed = now.since(self.decayed_at);
+        let kept = decay::kept(now.since(self.decayed_at), TIME_CONSTANT);
         self.decayed_at = now;
-        let kept = (-passed.as_secs() / TIME_CONSTANT.as_secs()).exp();
         for pair in self.pairs.values_mut() {
             pair.demanded *= kept;
             pair.demanded_tasks *= kept;
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -16,6 +16,7 @@
 mod capacity;
 mod codec;
 mod control;
+mod decay;
 mod demand;
 pub mod fair_share;
 mod hash;
--- a/src/operator/admission.rs
+++ b/src/operator/admission.rs
@@ -4,7 +4,6 @@
 use caperstile_admission::{AdmissionStatus, RefusedPair, STATUS_KEY};
 use clap::{Args, Subcommand};
 use serde_json::{Value, json};
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -14,12 +13,8 @@
 /// Arguments of `caperstile admission`.
 #[derive(Debug, Args)]
 pub(crate) struct Arguments {
-    /// The platform's settings (TOML) of any node: they name the state service.
-    #[arg(long, value_name = "FILE", global = true)]
-    config: Option<PathBuf>,
-    /// Write JSON instead of lines.
-    #[arg(long, global = true)]
-    json: bool,
+    #[command(flatten)]
+    common: super::CommonArguments,
     #[command(subcommand)]
     action: Action,
 }
@@ -32,7 +27,7 @@
 
 /// Runs a command.
 pub(crate) fn main(arguments: &Arguments) -> ExitCode {
-    let requests = match super::connect(arguments.config.as_deref()) {
+    let requests = match super::connect(arguments.common.config.as_deref()) {
         Ok(requests) => requests,
         Err(code) => return code,
     };
@@ -40,10 +35,10 @@
     match requests.get::<AdmissionStatus>(STATUS_KEY) {
         Ok(found) => {
             let shown = Shown { status: found.map(|(status, _)| status), now: now() };
-            print(arguments.json, &shown);
+            print(arguments.common.json, &shown);
             ExitCode::SUCCESS
         }
-        Err(error) => super::fail(arguments.json, &error),
+        Err(error) => super::fail(arguments.common.json, &error),
     }
 }
 
--- a/src/operator/drain.rs
+++ b/src/operator/drain.rs
@@ -6,7 +6,6 @@
 use caperstile_disruption::records::{Filter, Mode, Phase, Request, Selector, Wanted, valid_name};
 use clap::{ArgGroup, Args, Subcommand};
 use serde_json::json;
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -16,12 +15,8 @@
 /// Arguments of `caperstile drain`.
 #[derive(Debug, Args)]
 pub(crate) struct Arguments {
-    /// The platform's settings (TOML) of any node: they name the state service.
-    #[arg(long, value_name = "FILE", global = true)]
-    config: Option<PathBuf>,
-    /// Write JSON instead of lines.
-    #[arg(long, global = true)]
-    json: bool,
+    #[command(flatten)]
+    common: super::CommonArguments,
     /// How long to wait for the leader's answer, in seconds.
     #[arg(long, value_name = "SECONDS", default_value_t = 15, global = true)]
     wait: u64,
@@ -107,16 +102,16 @@
 
 /// Runs a command.
 pub(crate) fn main(arguments: &Arguments) -> ExitCode {
-    let requests = match super::connect(arguments.config.as_deref()) {
+    let requests = match super::connect(arguments.common.config.as_deref()) {
         Ok(requests) => requests,
         Err(code) => return code,
     };
     match run(arguments, &requests) {
         Ok(shown) => {
-            print(arguments.json, &shown);
+            print(arguments.common.json, &shown);
             ExitCode::SUCCESS
         }
-        Err(error) => super::fail(arguments.json, &error),
+        Err(error) => super::fail(arguments.common.json, &error),
     }
 }
 
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -9,7 +9,7 @@
 use crate::settings::Settings;
 use request::{CommandError, Requests};
 use serde_json::json;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// The arguments or settings cannot be used.
@@ -21,6 +21,17 @@
 /// Whether the request was or will be carried out is not known.
 const EXIT_IN_DOUBT: u8 = 5;
 
+/// What all operators' commands are told.
+#[derive(Debug, clap::Args)]
+struct CommonArguments {
+    /// The platform's settings (TOML) of any node: they name the state service.
+    #[arg(long, value_name = "FILE", global = true)]
+    config: Option<PathBuf>,
+    /// Write JSON instead of lines.
+    #[arg(long, global = true)]
+    json: bool,
+}
+
 /// A client of the state service that the settings name; says what is wrong with them.
 fn connect(config: Option<&Path>) -> Result<Requests, ExitCode> {
     let usage = |problem: String| {
--- a/src/runtime/outputs.rs
+++ b/src/runtime/outputs.rs
@@ -1,7 +1,7 @@
 //! Carries the core's effects out: answers, calls to other services, frames to other nodes.
 
+use super::Message;
 use super::clients::Clients;
-use super::{Message, http};
 use crate::controller::{Effect, Input, Origin};
 use crate::peers::{Answer, Frame};
 use caperstile_admission::{AdmissionTable, RequestClass, Shed};
@@ -73,7 +73,7 @@
         let answer = Answer { status: 503, retry_after, body: json!({"error": reason}).to_string() };
         match message {
             // Whoever has hung up wants no answer.
-            Message::Request(http::Asked::User(_) | http::Asked::Report(_) | http::Asked::Up, to) => {
+            Message::Request(_, to) => {
                 let _ = to.send(answer);
             }
             Message::Input(Input::User(origin, _)) => self.answer(origin, answer),
--- a/src/term/admission.rs
+++ b/src/term/admission.rs
@@ -49,7 +49,8 @@
     /// Writes what operators can read, now and then while something is refused and once when that is over. Nobody waits for it: what is
     /// lost is written again, or is old enough to be told from a refusal that goes on.
     pub(crate) fn write_admission_status(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
-        if now.since(self.admission_written.at) < STATUS_EVERY {
+        let told = !self.admission.is_refusing() && !self.admission_written.refusing;
+        if told || now.since(self.admission_written.at) < STATUS_EVERY {
             return;
         }
         let status = self.admission.status(now);
