--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Sets a field of an object.
+    pub fn set(&mut self, name: &str, value: Json) {
+        if let Json::Object(fields) = self {
+            fields.insert(name.to_string(), value);
+        }
+    }
+
     pub fn text(&self) -> &str {
         match self {
             Json::Text(text) => text,
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 //! if the case could not run.
 
 mod cloud;
+mod crowded;
 mod http;
 mod json;
 mod late_start;
@@ -30,6 +31,7 @@
     world::watch(Duration::from_secs(117));
     let outcome = match arguments[1].as_str() {
         "blocked" => blocked::run(record, trouble),
+        "crowded" => crowded::run(record, trouble),
         "late_start" => late_start::run(record, trouble),
         "mistakes" => mistakes::run(record, trouble),
         "repeats" => repeats::run(record, trouble),
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -237,18 +237,16 @@
             .tasks
             .iter()
             .map(|((piece, attempt), task)| {
-                let (status, cause) = match task.phase {
-                    Phase::Fetching => ("fetching", Json::Null),
-                    Phase::Running => ("running", Json::Null),
-                    Phase::Exited(cause) => ("exited", cause.into()),
-                };
-                object([
-                    ("Piece", piece.as_str().into()),
-                    ("Try", (*attempt).into()),
-                    ("Status", status.into()),
-                    ("Cause", cause),
-                    ("Kept", false.into()),
-                ])
+                let mut fields = object([("Piece", piece.as_str().into()), ("Try", (*attempt).into())]);
+                match task.phase {
+                    Phase::Fetching => fields.set("Status", "fetching".into()),
+                    Phase::Running => fields.set("Status", "running".into()),
+                    Phase::Exited(cause) => {
+                        fields.set("Status", "exited".into());
+                        fields.set("Cause", cause.into());
+                    }
+                }
+                fields
             })
             .collect();
         object([
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -37,6 +37,8 @@
 pub const CANCEL_S: f64 = 41.0;
 /// Boot time as a share of the nominal one: machines are up within two seconds, as they are at times.
 const BOOT_FACTOR: f64 = 0.1;
+/// "No request body may exceed 64 KiB."
+const MAX_BODY: usize = 64 * 1024;
 const LIST_LAG: Duration = Duration::from_secs(8);
 
 /// A direct command to a worker, as it was carried out.
@@ -623,7 +625,14 @@
                 continue;
             }
             machine.changed = false;
-            (Instant::now(), machine.shift, machine.report().to_string())
+            let report = machine.report().to_string();
+            if report.len() > MAX_BODY {
+                let tasks = machine.tasks.len();
+                last = Instant::now();
+                world.note(&format!("{} may not send its report: {tasks} tasks, {} bytes", name(id), report.len()));
+                continue;
+            }
+            (Instant::now(), machine.shift, report)
         };
         turn += 1;
         last = sent;
