--- a/src/leader.rs
+++ b/src/leader.rs
@@ -30,7 +30,7 @@
 use crate::cloud::CloudInstances;
 use crate::effects::{Effect, StoreCaller};
 use crate::jobs::JobStore;
-use crate::leadership::StepDownReason;
+use crate::leadership::{StepDownReason, TermTokens};
 use crate::settings::Settings;
 use crate::types::{Duration, FencingToken, MachineId, TaskId, Timestamp, WallClock};
 use crate::upgrade::Format;
@@ -60,7 +60,10 @@
 /// The state of a node while it leads. It is created at each election and dropped when the node steps down.
 pub struct Leader {
     settings: Settings,
+    /// The fencing token under which this node was elected; it identifies the term.
     token: FencingToken,
+    /// All fencing tokens that this leader may issue to workers.
+    tokens: TermTokens,
     /// Format of the data that this leader may write. Gangs are accepted only under a format that supports them.
     format: Format,
     /// When this node was elected.
@@ -94,6 +97,7 @@
     pub fn new(token: FencingToken, format: Format, now: Timestamp, settings: &Settings) -> Leader {
         Leader {
             token,
+            tokens: TermTokens::new(token),
             format,
             leader_since: now,
             log: WriteAheadLog::new(token, format, now, &settings.deployment.state, &settings.tuning),
--- a/src/leader/command_dispatch.rs
+++ b/src/leader/command_dispatch.rs
@@ -78,7 +78,7 @@
             return;
         }
         let command = self.command_dispatch.next_id();
-        let commands = if machine.fenced { machine.direct_commands(command) } else { Vec::new() };
+        let commands = if machine.fenced { machine.direct_commands() } else { Vec::new() };
         if commands.is_empty() && machine.fenced && !probe {
             return;
         }
@@ -90,7 +90,11 @@
             machine: id,
             endpoint: machine.record.endpoint.clone(),
             id: command,
-            body: CommandBatch { fencing_token: self.token.0, epoch: machine.last_message.epoch.0, commands },
+            body: CommandBatch {
+                fencing_token: machine.message_token.0,
+                epoch: machine.last_message.epoch.0,
+                commands,
+            },
         });
     }
 }
--- a/src/leader/failure_detection/tests.rs
+++ b/src/leader/failure_detection/tests.rs
@@ -19,7 +19,7 @@
         spot: false,
         provisioned_at: WallClock::default(),
     };
-    Machine::new(record, Resources::default(), Registration::NotRequested, Timestamp::START)
+    Machine::new(record, Resources::default(), Registration::NotRequested, FencingToken(5), Timestamp::START)
 }
 
 #[test]
--- a/src/leader/heartbeats.rs
+++ b/src/leader/heartbeats.rs
@@ -5,7 +5,7 @@
 use crate::effects::{Effect, RequestOrigin};
 use crate::leadership::StepDownReason;
 use crate::store::ServiceResponse;
-use crate::types::{MachineId, Resources, Timestamp, WallClock};
+use crate::types::{FencingToken, MachineId, Resources, Timestamp, WallClock};
 use crate::wire::{Heartbeat, HeartbeatResponse};
 use crate::workers::{self, Machine, MachineEvent, Registration};
 use crate::write_ahead_log::{LogRecord, MachineRecord};
@@ -75,7 +75,7 @@
         wall: WallClock,
         heartbeat: &Heartbeat,
     ) -> Result<MachineId, HeartbeatError> {
-        if heartbeat.fencing_token > self.token.0 {
+        if self.tokens.is_superseded_by(FencingToken(heartbeat.fencing_token)) {
             self.step_down_reason = Some(StepDownReason::HigherFencingToken);
             return Err(HeartbeatError::HigherFencingToken);
         }
@@ -97,6 +97,7 @@
         id: MachineId,
         heartbeat: &Heartbeat,
     ) -> &mut Machine {
+        let token = self.token;
         let machine = self.machines.entry(id).or_insert_with(|| {
             info!(
                 "machine discovered machine={id} type={} zone={} spot={}",
@@ -110,7 +111,7 @@
                 spot: heartbeat.spot,
                 provisioned_at: wall,
             };
-            Machine::new(record, Resources::default(), Registration::NotRequested, now)
+            Machine::new(record, Resources::default(), Registration::NotRequested, token, now)
         });
         if let Some(requested_at) = self.cloud.instance_discovered(id) {
             machine.known_since = requested_at;
@@ -128,6 +129,16 @@
         }
     }
 
+    /// Raises the fencing token of the messages to a machine's worker if the worker could then be commanded to forget
+    /// ended attempts. If no sufficient token is known yet, the next heartbeat finds the one that is requested here.
+    fn raise_token_if_awaited(&mut self, id: MachineId) {
+        let Some(machine) = self.machines.get_mut(&id).filter(|machine| machine.awaits_higher_token()) else { return };
+        machine.raise_message_token(self.tokens.latest());
+        if machine.awaits_higher_token() {
+            self.log.request_higher_revision();
+        }
+    }
+
     /// Returns the response to a heartbeat, which renews the worker's lease; `None` if the machine is unknown.
     fn build_heartbeat_response(
         &mut self,
@@ -135,10 +146,10 @@
         id: MachineId,
         heartbeat: &Heartbeat,
     ) -> Option<HeartbeatResponse> {
-        let duplicate_delay_limit = self.settings.deployment.workers.duplicate_delay_limit();
+        self.raise_token_if_awaited(id);
         let machine = self.machines.get_mut(&id)?;
         let commands = if machine.fenced {
-            machine.heartbeat_commands(now, duplicate_delay_limit)
+            machine.heartbeat_commands()
         } else {
             // The response renews the lease for every task on the machine. It therefore stops the tasks of ended jobs
             // even though the machine is not fenced yet. Otherwise cancelled tasks keep running when several leaders
@@ -148,7 +159,7 @@
         };
         machine.lease_renewed_at = now;
         machine.last_responded_heartbeat = machine.last_heartbeat;
-        Some(HeartbeatResponse { fencing_token: self.token.0, commands })
+        Some(HeartbeatResponse { fencing_token: machine.message_token.0, commands })
     }
 
     /// Appends the registration of a new machine to the log. Only a machine that has seen this leader's fencing token
@@ -186,7 +197,7 @@
             self.planning.changed_machines.insert(id);
         }
         if responded && let Some(message) = response.parse::<Heartbeat>() {
-            if message.fencing_token > self.token.0 {
+            if self.tokens.is_superseded_by(FencingToken(message.fencing_token)) {
                 self.step_down_reason = Some(StepDownReason::HigherFencingToken);
                 return;
             }
@@ -209,7 +220,7 @@
         let Some(machine) = self.machines.get_mut(&id) else { return false };
         let was_reclaimed = machine.reclaim_at.is_some();
         let mut events = Vec::new();
-        machine.apply_message(now, message, self.token, &mut events);
+        machine.apply_message(now, message, self.tokens, &mut events);
         self.planning.changed_machines.insert(id);
         if !was_reclaimed && machine.reclaim_at.is_some() {
             info!("interruption notice machine={id} reclaim_in_s={}", message.reclaim_in_s.unwrap_or_default());
--- a/src/leader/log_records.rs
+++ b/src/leader/log_records.rs
@@ -51,6 +51,7 @@
                         self.apply_durable_record(now, wall, record, out);
                     }
                 }
+                LogEvent::WriteConfirmed(revision) => self.tokens.add_confirmed_revision(revision),
                 LogEvent::LeaderKeyLost => self.step_down_reason = Some(StepDownReason::LeaderKeyChanged),
             }
         }
@@ -81,7 +82,7 @@
     }
 
     fn restore_machine(&mut self, now: Timestamp, wall: WallClock, record: &MachineRecord) {
-        let mut machine = Machine::new(record.clone(), Resources::default(), Registration::Durable, now);
+        let mut machine = Machine::new(record.clone(), Resources::default(), Registration::Durable, self.token, now);
         machine.known_since = wall.timestamp_of(now, record.provisioned_at);
         self.cloud.instance_discovered(record.id);
         self.fencing.unfenced.insert(record.id);
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -1,7 +1,7 @@
 //! Leader election through one key of the state service that is bound to a lease.
 //!
 //! The node that creates the key is the leader, and its fencing token is the revision of that write: tokens increase
-//! with every election and are never reused. The key's value holds the node's name and a random incarnation. With these
+//! with every election and are never reused. During its term the leader may issue further tokens, see [`TermTokens`]. The key's value holds the node's name and a random incarnation. With these
 //! a node whose campaign got no response finds out by reading the key whether it was elected, and a restarted node
 //! recognizes the key of its own previous process and replaces it without waiting for the lease to expire.
 
@@ -9,6 +9,7 @@
 mod keys;
 mod relocation;
 mod step_down;
+mod term_tokens;
 
 use crate::store::{ServiceResponse, StoreRequest};
 use crate::types::{Duration, FencingToken, LeaseId, Revision, Timestamp};
@@ -17,6 +18,7 @@
 use log::info;
 use rand::{Rng, rngs::SmallRng};
 pub use step_down::StepDownReason;
+pub use term_tokens::TermTokens;
 
 /// Time after which a request without a response is considered failed.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/leadership/tests.rs
+++ b/src/leadership/tests.rs
@@ -29,6 +29,19 @@
     n
 }
 
+/// Guards against a leader that steps down because of its own tokens, or that takes a later leader's token for one of
+/// its own.
+#[test]
+fn the_tokens_of_a_term_are_the_revisions_from_its_election_to_its_last_confirmed_write() {
+    let mut tokens = TermTokens::new(FencingToken(9));
+    tokens.add_confirmed_revision(Revision(15));
+    tokens.add_confirmed_revision(Revision(12)); // responses may arrive in another order
+    assert_eq!(tokens.latest(), FencingToken(15));
+    assert!([9, 12, 15].into_iter().all(|token| tokens.contains(FencingToken(token))));
+    assert!(!tokens.contains(FencingToken(8)) && !tokens.contains(FencingToken(16)));
+    assert!(!tokens.is_superseded_by(FencingToken(15)) && tokens.is_superseded_by(FencingToken(16)));
+}
+
 #[test]
 fn election_with_lost_response_is_confirmed_by_reading_the_key() {
     let (mut n, mut out) = (node("n0", 7), Vec::new());
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -58,13 +58,6 @@
         Duration::from_secs_f64(self.gang_wait_s)
     }
 
-    /// Maximum delay of a duplicate message, well over a lease. With two leases, at a lease of 16 s, a duplicate start
-    /// command that was delayed by 35 s arrived after its attempt had been forgotten, and the worker ran the attempt
-    /// again.
-    pub fn duplicate_delay_limit(&self) -> Duration {
-        Duration::from_secs_f64(self.lease_s * DUPLICATE_DELAY_LEASES)
-    }
-
     /// Maximum interval between two heartbeats of a healthy worker, in seconds.
     fn max_heartbeat_interval_s(&self) -> f64 {
         self.report_s * MAX_INTERVAL_FACTOR
@@ -85,8 +78,6 @@
 const SILENCE_INTERVALS: f64 = 20.0;
 /// Minimum duration of a silence that is significant, in seconds.
 const MIN_SILENCE_S: f64 = 1.5;
-/// Maximum delay of a duplicate message, in durations of a worker's lease.
-const DUPLICATE_DELAY_LEASES: f64 = 2.5;
 
 /// Limits of the state service, which all nodes share.
 #[derive(Debug, Clone, Deserialize)]
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -21,7 +21,7 @@
 mod message_position;
 mod reconciliation;
 
-pub use attempt::{AttemptExit, AttemptPhase, StartUncertainty, TaskAttempt};
+pub use attempt::{AttemptExit, AttemptPhase, TaskAttempt};
 pub use commands::stop_ended_jobs;
 pub use drain_reason::DrainReason;
 pub use machine::{InFlightCommand, Machine, Registration};
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -1,6 +1,6 @@
 //! The leader's view of a task attempt on a machine.
 
-use crate::types::{AttemptId, Duration, Resources, TaskId, Timestamp};
+use crate::types::{AttemptId, Duration, FencingToken, Resources, TaskId, Timestamp};
 use crate::wire::{ExitReason, TaskState};
 
 /// Priority of an attempt whose job is not known to this leader: the lowest priority.
@@ -35,17 +35,6 @@
     }
 }
 
-/// Whether a direct command that starts the attempt may still be executed by the worker, later than expected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StartUncertainty {
-    /// No such command was sent, or the worker has responded to it.
-    None,
-    /// The command with this number is in flight.
-    InFlight(u64),
-    /// The command got no response and may be executed until the worker agent begins a new epoch.
-    Lost,
-}
-
 /// An attempt that is known to be on a machine, or whose start was requested there.
 #[derive(Debug, Clone)]
 pub struct TaskAttempt {
@@ -55,18 +44,15 @@
     pub phase: AttemptPhase,
     /// Whether the worker has reported it, and so has received its start.
     pub acknowledged: bool,
-    /// Whether a direct command that starts it may still be executed.
-    pub start_uncertainty: StartUncertainty,
     /// Grace period in seconds that it gets for a checkpoint when it is stopped; `None` unless it is to be stopped.
     pub stop_grace_s: Option<f64>,
     /// Whether its start was sent, in a direct command or a heartbeat response.
     pub start_sent: bool,
     /// Whether the current stop request was sent, in a direct command or a heartbeat response.
     pub stop_sent: bool,
-    /// Whether its start was sent in a direct command, of which a delayed duplicate may be executed.
-    pub started_directly: bool,
-    /// When it ended; meaningful only in phase `Exited`.
-    pub ended_at: Timestamp,
+    /// Fencing token of the direct command that contained its start; `None` if its start was sent in heartbeat responses
+    /// only. The command, or a duplicate of it, may be executed until the worker has seen a higher token.
+    pub direct_start_token: Option<FencingToken>,
     /// Whether the worker may forget it once it has ended: its end is durable, or the leader does not need its result.
     pub forgettable: bool,
     /// Whether its job considers the task placed on this machine under this attempt.
@@ -97,12 +83,10 @@
             // before.
             phase: if phase == AttemptPhase::Exited { AttemptPhase::StartRequested } else { phase },
             acknowledged: true,
-            start_uncertainty: StartUncertainty::None,
             stop_grace_s: Some(0.0),
             start_sent: true,
             stop_sent: false,
-            started_directly: false,
-            ended_at: now,
+            direct_start_token: None,
             forgettable: true,
             assigned: false,
             resources: Resources::default(),
@@ -115,6 +99,12 @@
         }
     }
 
+    /// Whether a direct command that starts it, however late, may still be executed by a worker that has seen no higher
+    /// fencing token than this.
+    pub(super) fn may_start_late(&self, highest_seen: FencingToken) -> bool {
+        self.direct_start_token.is_some_and(|token| token >= highest_seen)
+    }
+
     /// Whether it occupies resources on the machine: it has not ended, as far as is known.
     pub fn occupies_resources(&self) -> bool {
         self.phase != AttemptPhase::Exited
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -1,16 +1,17 @@
 //! Commands to a machine's worker, sent in heartbeat responses and in direct messages.
 
-use super::attempt::{AttemptPhase, StartUncertainty, TaskAttempt};
+use super::attempt::{AttemptPhase, TaskAttempt};
 use super::machine::Machine;
-use crate::types::{AttemptId, Duration, JobId, Timestamp};
+use crate::types::{AttemptId, FencingToken, JobId, Timestamp};
 use crate::wire::{Heartbeat, TaskState, WorkerCommand};
+use log::debug;
 
 /// Number of commands from which no further ones are added to a message, which must stay far below 64 KiB. In a
 /// heartbeat response the number is checked after a start or stop only, so `Forget` commands may exceed it.
 const MAX_COMMANDS_PER_MESSAGE: usize = 300;
-/// Number of ended attempts on one machine above which the worker is commanded to forget attempts even if a delayed
-/// duplicate of their start may still arrive, because its heartbeats list them and must stay far below 64 KiB.
-const MAX_ENDED_ATTEMPTS: usize = 200;
+/// Number of ended attempts on one machine that a delayed direct command may start again, from which on no further
+/// attempt is started there by a direct command. Heartbeats list all of them and must stay far below 64 KiB.
+const MAX_RETAINED_ATTEMPTS: usize = 200;
 
 /// Returns commands that stop every task in a heartbeat whose job has ended. They are sent to a machine that is not
 /// fenced yet, whose attempts this leader does not track.
@@ -38,12 +39,15 @@
 }
 
 impl TaskAttempt {
-    /// Whether a command to forget this ended attempt may be sent to the worker: its result is not needed any more, and
-    /// no direct command can start it again. A delayed duplicate of a command that was responded to may arrive until
-    /// `duplicate_delay_limit` after the end; an `is_excess` attempt is forgotten regardless of that.
-    fn may_be_forgotten(&self, now: Timestamp, duplicate_delay_limit: Duration, is_excess: bool) -> bool {
-        let duplicate_possible = self.started_directly && now.since(self.ended_at) < duplicate_delay_limit;
-        self.forgettable && self.start_uncertainty == StartUncertainty::None && (is_excess || !duplicate_possible)
+    /// Whether it has ended and its result is not needed any more.
+    fn is_obsolete(&self) -> bool {
+        self.phase == AttemptPhase::Exited && self.forgettable
+    }
+
+    /// Whether a response with this fencing token may command the worker to forget the attempt. The worker adopts the
+    /// token together with the command, and from then on rejects the direct command that started the attempt.
+    fn may_be_forgotten(&self, response_token: FencingToken) -> bool {
+        self.is_obsolete() && !self.may_start_late(response_token)
     }
 }
 
@@ -54,17 +58,15 @@
     /// A start that the worker has not acknowledged is sent again, since `Start` of an attempt that the worker already
     /// has is a no-op. An attempt that is to be stopped before it was acknowledged gets `Start` followed by `Stop`: the
     /// worker then has a record of the attempt, and a delayed direct `Start` has no effect because the attempt has
-    /// exited. For the same reason the worker keeps an ended attempt that was started directly for
-    /// `duplicate_delay_limit`: after forgetting it, the worker would start it again if a delayed duplicate of the
-    /// command arrived, even though it had responded to the command.
-    pub fn heartbeat_commands(&mut self, now: Timestamp, duplicate_delay_limit: Duration) -> Vec<WorkerCommand> {
+    /// exited. The worker keeps that record until a response carries a higher fencing token than the direct command: a
+    /// direct command, or a duplicate of one that was responded to, may be executed after any delay while the worker has
+    /// seen no higher token, and would start an attempt that the worker has forgotten.
+    pub fn heartbeat_commands(&mut self) -> Vec<WorkerCommand> {
         let mut commands = Vec::new();
-        let ended = self.attempts.values().filter(|attempt| !attempt.occupies_resources()).count();
-        let mut excess = ended.saturating_sub(MAX_ENDED_ATTEMPTS);
         for (id, attempt) in &mut self.attempts {
             if attempt.phase == AttemptPhase::Exited {
-                if attempt.may_be_forgotten(now, duplicate_delay_limit, excess > 0) {
-                    excess = excess.saturating_sub(1);
+                if attempt.may_be_forgotten(self.message_token) {
+                    debug!("attempt forgotten task={id} machine={} token={}", self.record.id, self.message_token);
                     commands.push(forget_command(id));
                 }
                 continue;
@@ -88,18 +90,41 @@
         commands
     }
 
-    /// Returns the commands for the direct message with this number: starts that were not sent yet, and stops of
-    /// acknowledged attempts.
+    /// Number of ended attempts that the worker must not forget yet, because a delayed direct command may start them
+    /// again.
+    fn retained_attempts(&self) -> usize {
+        let is_retained = |attempt: &&TaskAttempt| {
+            attempt.phase == AttemptPhase::Exited && attempt.may_start_late(self.message_token)
+        };
+        self.attempts.values().filter(is_retained).count()
+    }
+
+    /// Whether the worker can be commanded to forget an attempt only in a response with a higher fencing token than that
+    /// of the messages to it. False while a direct command is in flight, which the worker would reject if the response
+    /// overtook it.
+    pub fn awaits_higher_token(&self) -> bool {
+        let is_retained =
+            |attempt: &TaskAttempt| attempt.is_obsolete() && !attempt.may_be_forgotten(self.message_token);
+        self.in_flight_command.is_none() && self.attempts.values().any(is_retained)
+    }
+
+    /// Raises the fencing token of the messages to the worker to this one.
+    pub fn raise_message_token(&mut self, token: FencingToken) {
+        self.message_token = self.message_token.max(token);
+    }
+
+    /// Returns the commands for a direct message: starts that were not sent yet, and stops of acknowledged attempts.
     ///
     /// Commands that were sent in a heartbeat response are not included: the next response repeats them if necessary.
-    pub fn direct_commands(&mut self, command: u64) -> Vec<WorkerCommand> {
+    /// Starts are left to heartbeat responses while the worker retains too many ended attempts.
+    pub fn direct_commands(&mut self) -> Vec<WorkerCommand> {
         let mut commands = Vec::new();
+        let may_start = self.retained_attempts() < MAX_RETAINED_ATTEMPTS;
         for (id, attempt) in &mut self.attempts {
             match attempt.stop_grace_s {
-                None if !attempt.acknowledged && !attempt.start_sent => {
+                None if may_start && !attempt.acknowledged && !attempt.start_sent => {
                     attempt.start_sent = true;
-                    attempt.start_uncertainty = StartUncertainty::InFlight(command);
-                    attempt.started_directly = true;
+                    attempt.direct_start_token = Some(self.message_token);
                     commands.push(start_command(id));
                 }
                 Some(grace_s) if attempt.acknowledged && attempt.occupies_resources() && !attempt.stop_sent => {
@@ -126,11 +151,6 @@
         if self.in_flight_command.is_some_and(|in_flight| in_flight.id == command) {
             self.in_flight_command = None;
         }
-        let in_flight = StartUncertainty::InFlight(command);
-        let outcome = if responded { StartUncertainty::None } else { StartUncertainty::Lost };
-        for attempt in self.attempts.values_mut().filter(|attempt| attempt.start_uncertainty == in_flight) {
-            attempt.start_uncertainty = outcome;
-        }
     }
 
     /// Requests that an attempt stops within a grace period for its checkpoint, in seconds. Returns whether a command
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -3,7 +3,7 @@
 use super::attempt::TaskAttempt;
 use super::drain_reason::DrainReason;
 use super::message_position::MessagePosition;
-use crate::types::{AttemptId, Duration, JobId, MachineId, Resources, TaskId, Timestamp};
+use crate::types::{AttemptId, Duration, FencingToken, JobId, MachineId, Resources, TaskId, Timestamp};
 use crate::write_ahead_log::MachineRecord;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -39,8 +39,10 @@
     pub registration: Registration,
     /// Position of its newest message, a heartbeat or the response to a direct command.
     pub last_message: MessagePosition,
-    /// Whether one of its messages contained this leader's fencing token.
+    /// Whether one of its messages contained a fencing token of this leader.
     pub fenced: bool,
+    /// Fencing token of the messages to its worker, the highest that this leader has sent to it.
+    pub message_token: FencingToken,
     /// Position of its newest heartbeat, not counting responses to direct commands. A worker has only one heartbeat in
     /// flight, so a heartbeat that is not newer than this one is a delayed duplicate, whose response nobody reads.
     pub last_heartbeat: MessagePosition,
@@ -81,14 +83,22 @@
 }
 
 impl Machine {
-    /// Creates a machine that no message has been received from yet.
-    pub fn new(record: MachineRecord, capacity: Resources, registration: Registration, now: Timestamp) -> Machine {
+    /// Creates a machine that no message has been received from yet. `token` is the fencing token under which this
+    /// leader was elected.
+    pub fn new(
+        record: MachineRecord,
+        capacity: Resources,
+        registration: Registration,
+        token: FencingToken,
+        now: Timestamp,
+    ) -> Machine {
         Machine {
             record,
             capacity,
             registration,
             last_message: MessagePosition::default(),
             fenced: false,
+            message_token: token,
             last_heartbeat: MessagePosition::default(),
             last_responded_heartbeat: MessagePosition::default(),
             sends_consecutive_heartbeats: false,
--- a/src/workers/reconciliation.rs
+++ b/src/workers/reconciliation.rs
@@ -3,6 +3,7 @@
 use super::attempt::{AttemptExit, AttemptPhase, TaskAttempt};
 use super::machine::Machine;
 use super::message_position::MessagePosition;
+use crate::leadership::TermTokens;
 use crate::types::{AttemptId, AttemptNumber, Duration, FencingToken, TaskId, Timestamp};
 use crate::wire::{ExitReason, Heartbeat, TaskStatus};
 use std::collections::btree_map::Entry;
@@ -25,7 +26,7 @@
     AttemptExited(AttemptExit),
     /// The assigned attempt of this task does not exist any more, and no result was reported.
     AttemptLost(TaskId),
-    /// The machine is fenced: one of its messages contained this leader's fencing token.
+    /// The machine is fenced: one of its messages contained a fencing token of this leader.
     Fenced,
 }
 
@@ -59,7 +60,7 @@
         &mut self,
         now: Timestamp,
         message: &Heartbeat,
-        token: FencingToken,
+        tokens: TermTokens,
         events: &mut Vec<MachineEvent>,
     ) {
         let position = MessagePosition::from(message);
@@ -73,7 +74,7 @@
         self.last_message_at = now;
         self.record.endpoint.clone_from(&message.endpoint);
         self.reclaim_at = message.reclaim_in_s.map(|seconds| now + Duration::from_secs_f64(seconds));
-        if message.fencing_token == token.0 && !self.fenced {
+        if tokens.contains(FencingToken(message.fencing_token)) && !self.fenced {
             self.mark_fenced(now, events);
         }
         if self.fenced {
@@ -95,7 +96,7 @@
         self.lease_renewed_at = now;
     }
 
-    /// Marks the machine as fenced after a message with this leader's fencing token.
+    /// Marks the machine as fenced after a message with a fencing token of this leader.
     fn mark_fenced(&mut self, now: Timestamp, events: &mut Vec<MachineEvent>) {
         self.fenced = true;
         // An earlier leader may have renewed the lease until this moment; from now on only this leader can.
@@ -164,7 +165,7 @@
                 self.mark_image_cached(id, events);
                 self.mark_running(now, id, events);
             }
-            AttemptPhase::Exited => self.mark_exited(now, id, status.exit_reason, events),
+            AttemptPhase::Exited => self.mark_exited(id, status.exit_reason, events),
             AttemptPhase::StartRequested | AttemptPhase::Fetching | AttemptPhase::Checkpointing => {}
         }
     }
@@ -187,15 +188,8 @@
     }
 
     /// Records the end of the attempt.
-    fn mark_exited(
-        &mut self,
-        now: Timestamp,
-        id: AttemptId,
-        reason: Option<ExitReason>,
-        events: &mut Vec<MachineEvent>,
-    ) {
-        let Some(attempt) = self.attempts.get_mut(&id) else { return };
-        attempt.ended_at = now;
+    fn mark_exited(&self, id: AttemptId, reason: Option<ExitReason>, events: &mut Vec<MachineEvent>) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
         events.push(MachineEvent::AttemptExited(AttemptExit {
             id,
             reason: reason.unwrap_or(ExitReason::Other),
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
-use crate::types::{AttemptId, AttemptNumber, Duration, FencingToken, MachineId, Resources, Timestamp, WallClock};
+use crate::leadership::TermTokens;
+use crate::types::{AttemptId, AttemptNumber, FencingToken, MachineId, Resources, Revision, Timestamp, WallClock};
 use crate::wire::{Heartbeat, WorkerCommand};
 use crate::write_ahead_log::MachineRecord;
 use serde_json::json;
@@ -19,24 +20,28 @@
         spot: false,
         provisioned_at: WallClock::default(),
     };
-    Machine::new(record, Resources { cpus: 4000, gpus: 0, memory: 16_000 }, Registration::Durable, Timestamp::ZERO)
+    Machine::new(
+        record,
+        Resources { cpus: 4000, gpus: 0, memory: 16_000 },
+        Registration::Durable,
+        FencingToken(7),
+        Timestamp::ZERO,
+    )
 }
 
 fn first_attempt() -> AttemptId {
     AttemptId { attempt: AttemptNumber(1), task: "job-000001/0".parse().unwrap() }
 }
 
-fn attempt_with_requested_start(task: &str, start_uncertainty: StartUncertainty) -> TaskAttempt {
+fn attempt_with_requested_start(task: &str, direct_start_token: Option<FencingToken>) -> TaskAttempt {
     TaskAttempt {
         task: task.parse().unwrap(),
         phase: AttemptPhase::StartRequested,
         acknowledged: false,
-        start_uncertainty,
         stop_grace_s: None,
-        start_sent: start_uncertainty != StartUncertainty::None,
+        start_sent: direct_start_token.is_some(),
         stop_sent: false,
-        started_directly: start_uncertainty != StartUncertainty::None,
-        ended_at: Timestamp::ZERO,
+        direct_start_token,
         forgettable: true,
         assigned: true,
         resources: Resources { cpus: 1000, gpus: 0, memory: 1000 },
@@ -54,11 +59,21 @@
 #[test]
 fn the_lease_of_a_new_epoch_counts_from_its_beginning() {
     let (mut machine, mut events) = (machine(), Vec::new());
-    machine.apply_message(Timestamp::from_millis(100), &heartbeat(1, 5, 7, json!([])), FencingToken(7), &mut events);
+    machine.apply_message(
+        Timestamp::from_millis(100),
+        &heartbeat(1, 5, 7, json!([])),
+        TermTokens::new(FencingToken(7)),
+        &mut events,
+    );
     assert_eq!((machine.fenced, machine.lease_renewed_at), (true, Timestamp::from_millis(100)));
-    machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", StartUncertainty::None));
+    machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", None));
     events.clear();
-    machine.apply_message(Timestamp::from_millis(16_500), &heartbeat(2, 1, 7, json!([])), FencingToken(7), &mut events);
+    machine.apply_message(
+        Timestamp::from_millis(16_500),
+        &heartbeat(2, 1, 7, json!([])),
+        TermTokens::new(FencingToken(7)),
+        &mut events,
+    );
     assert_eq!(events, [MachineEvent::AttemptLost("job-000001/0".parse().unwrap())]);
     assert_eq!(machine.lease_renewed_at, Timestamp::from_millis(16_500));
 }
@@ -67,10 +82,25 @@
 fn an_older_message_changes_nothing() {
     let (mut machine, mut events) = (machine(), Vec::new());
     let running = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "running"}]);
-    machine.apply_message(Timestamp::from_millis(100), &heartbeat(1, 5, 7, running), FencingToken(7), &mut events);
+    machine.apply_message(
+        Timestamp::from_millis(100),
+        &heartbeat(1, 5, 7, running),
+        TermTokens::new(FencingToken(7)),
+        &mut events,
+    );
     events.clear();
-    machine.apply_message(Timestamp::from_millis(101), &heartbeat(1, 4, 7, json!([])), FencingToken(7), &mut events);
-    machine.apply_message(Timestamp::from_millis(102), &heartbeat(0, 9, 7, json!([])), FencingToken(7), &mut events);
+    machine.apply_message(
+        Timestamp::from_millis(101),
+        &heartbeat(1, 4, 7, json!([])),
+        TermTokens::new(FencingToken(7)),
+        &mut events,
+    );
+    machine.apply_message(
+        Timestamp::from_millis(102),
+        &heartbeat(0, 9, 7, json!([])),
+        TermTokens::new(FencingToken(7)),
+        &mut events,
+    );
     assert!(events.is_empty() && machine.attempts.len() == 1);
 }
 
@@ -80,9 +110,19 @@
 fn only_a_newer_heartbeat_counts() {
     let (mut machine, mut events) = (machine(), Vec::new());
     assert!(machine.accept_heartbeat(Timestamp::from_millis(100), &heartbeat(1, 5, 7, json!([])), true));
-    machine.apply_message(Timestamp::from_millis(100), &heartbeat(1, 5, 7, json!([])), FencingToken(7), &mut events);
+    machine.apply_message(
+        Timestamp::from_millis(100),
+        &heartbeat(1, 5, 7, json!([])),
+        TermTokens::new(FencingToken(7)),
+        &mut events,
+    );
     // The response to a direct command.
-    machine.apply_message(Timestamp::from_millis(110), &heartbeat(1, 7, 7, json!([])), FencingToken(7), &mut events);
+    machine.apply_message(
+        Timestamp::from_millis(110),
+        &heartbeat(1, 7, 7, json!([])),
+        TermTokens::new(FencingToken(7)),
+        &mut events,
+    );
     assert!(machine.accept_heartbeat(Timestamp::from_millis(120), &heartbeat(1, 6, 7, json!([])), true));
     assert!(
         !machine.accept_heartbeat(Timestamp::from_millis(130), &heartbeat(1, 6, 7, json!([])), true),
@@ -92,7 +132,12 @@
         !machine.accept_heartbeat(Timestamp::from_millis(140), &heartbeat(1, 4, 7, json!([])), true),
         "an older heartbeat"
     );
-    machine.apply_message(Timestamp::from_millis(150), &heartbeat(2, 1, 7, json!([])), FencingToken(7), &mut events);
+    machine.apply_message(
+        Timestamp::from_millis(150),
+        &heartbeat(2, 1, 7, json!([])),
+        TermTokens::new(FencingToken(7)),
+        &mut events,
+    );
     assert!(
         !machine.accept_heartbeat(Timestamp::from_millis(160), &heartbeat(1, 9, 7, json!([])), true),
         "from an earlier epoch"
@@ -107,7 +152,7 @@
     let (mut machine, mut events) = (machine(), Vec::new());
     let mut receive = |machine: &mut Machine, at: u64, heartbeat: &Heartbeat| {
         assert!(machine.accept_heartbeat(Timestamp::from_millis(at), heartbeat, true));
-        machine.apply_message(Timestamp::from_millis(at), heartbeat, FencingToken(7), &mut events);
+        machine.apply_message(Timestamp::from_millis(at), heartbeat, TermTokens::new(FencingToken(7)), &mut events);
         machine.last_responded_heartbeat = machine.last_heartbeat;
     };
     receive(&mut machine, 100, &heartbeat(1, 5, 7, json!([])));
@@ -121,7 +166,7 @@
         (Timestamp::from_millis(2100), 1),
         "it sent a heartbeat to another node in between"
     );
-    machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", StartUncertainty::Lost));
+    machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", Some(FencingToken(7))));
     receive(&mut machine, 22_100, &heartbeat(1, 10, 7, json!([])));
     assert_eq!(machine.last_reached_at, Timestamp::from_millis(2100), "the command had no effect");
     let fetching = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "fetching"}]);
@@ -136,22 +181,21 @@
 #[test]
 fn stop_of_an_unacknowledged_start_sends_start_and_stop_and_the_attempt_is_kept() {
     let mut machine = machine();
-    machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", StartUncertainty::Lost));
+    machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", Some(FencingToken(7))));
     machine.request_stop(first_attempt(), 0.0);
     let (task, attempt) = ("job-000001/0".to_string(), 1);
     let stop = WorkerCommand::Stop { task: task.clone(), attempt, grace_s: 0.0 };
-    assert_eq!(
-        machine.heartbeat_commands(Timestamp::from_millis(1), Duration::ZERO),
-        [WorkerCommand::Start { task, attempt }, stop]
-    );
-    assert!(machine.direct_commands(9).is_empty(), "only heartbeat responses are never executed late");
+    assert_eq!(machine.heartbeat_commands(), [WorkerCommand::Start { task, attempt }, stop]);
+    assert!(machine.direct_commands().is_empty(), "only heartbeat responses are never executed late");
     machine.fenced = true;
     let exited = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "exited", "Cause": "halted"}]);
-    machine.apply_message(Timestamp::from_millis(1), &heartbeat(1, 1, 7, exited), FencingToken(7), &mut Vec::new());
-    assert!(
-        machine.heartbeat_commands(Timestamp::from_millis(1), Duration::ZERO).is_empty(),
-        "a delayed duplicate of the start command would start it again"
+    machine.apply_message(
+        Timestamp::from_millis(1),
+        &heartbeat(1, 1, 7, exited),
+        TermTokens::new(FencingToken(7)),
+        &mut Vec::new(),
     );
+    assert!(machine.heartbeat_commands().is_empty(), "a delayed duplicate of the start command would start it again");
 }
 
 /// Guards against slow cancellation: a task that was checkpointing when its job was cancelled got no second stop and
@@ -159,40 +203,81 @@
 #[test]
 fn a_checkpointing_task_is_ended_by_a_second_stop() {
     let mut machine = machine();
-    machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", StartUncertainty::None));
+    machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", None));
     machine.fenced = true;
     machine.request_stop(first_attempt(), 10.0);
     let checkpointing = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "flushing"}]);
     machine.apply_message(
         Timestamp::from_millis(1),
         &heartbeat(1, 1, 7, checkpointing),
-        FencingToken(7),
+        TermTokens::new(FencingToken(7)),
         &mut Vec::new(),
     );
-    assert!(
-        machine.heartbeat_commands(Timestamp::from_millis(1), Duration::ZERO).is_empty(),
-        "the checkpoint may complete"
-    );
+    assert!(machine.heartbeat_commands().is_empty(), "the checkpoint may complete");
     machine.request_stop(first_attempt(), 0.0);
     let stop = WorkerCommand::Stop { task: "job-000001/0".into(), attempt: 1, grace_s: 0.0 };
-    assert_eq!(machine.heartbeat_commands(Timestamp::from_millis(2), Duration::ZERO), [stop]);
+    assert_eq!(machine.heartbeat_commands(), [stop]);
 }
 
 /// Guards against a second execution: a delayed duplicate of a start command that had been responded to started a task
-/// again after the worker had forgotten it.
+/// again after the worker had forgotten it. No time makes a duplicate impossible; only a higher fencing token does.
 #[test]
 fn a_directly_started_attempt_is_forgotten_only_when_no_late_copy_can_come() {
     let mut machine = machine();
-    machine
-        .attempts
-        .insert(first_attempt(), attempt_with_requested_start("job-000001/0", StartUncertainty::InFlight(3)));
-    machine.record_command_outcome(Timestamp::from_millis(10), 3, true);
     machine.fenced = true;
+    machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", None));
+    machine.attempts.get_mut(&first_attempt()).unwrap().start_sent = false;
+    let start = WorkerCommand::Start { task: "job-000001/0".into(), attempt: 1 };
+    assert_eq!(machine.direct_commands(), [start]);
+    machine.in_flight_command = Some(InFlightCommand { id: 3, sent_at: Timestamp::ZERO });
     let exited = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "exited", "Cause": "done"}]);
-    machine.apply_message(Timestamp::from_millis(1000), &heartbeat(1, 1, 7, exited), FencingToken(7), &mut Vec::new());
-    assert!(machine.heartbeat_commands(Timestamp::from_millis(30_999), Duration::from_secs(30)).is_empty());
+    let tokens = TermTokens::new(FencingToken(7));
+    machine.apply_message(Timestamp::from_millis(1000), &heartbeat(1, 1, 7, exited), tokens, &mut Vec::new());
+    assert!(!machine.awaits_higher_token(), "a response with a higher token could overtake the command in flight");
+    machine.record_command_outcome(Timestamp::from_millis(1010), 3, true);
+    assert!(machine.awaits_higher_token() && machine.heartbeat_commands().is_empty());
+    machine.raise_message_token(FencingToken(6));
+    assert!(machine.awaits_higher_token() && machine.heartbeat_commands().is_empty(), "the token never falls");
+    machine.raise_message_token(FencingToken(9));
     let forget = WorkerCommand::Forget { task: "job-000001/0".into(), attempt: 1 };
-    assert_eq!(machine.heartbeat_commands(Timestamp::from_millis(31_000), Duration::from_secs(30)), [forget]);
+    assert_eq!((machine.awaits_higher_token(), machine.heartbeat_commands()), (false, vec![forget]));
+}
+
+/// Guards against heartbeats that exceed 64 KiB while the state service is down, when no higher token is to be had:
+/// every direct start then adds an attempt that the worker has to keep. Starts by heartbeat responses add none.
+#[test]
+fn no_task_is_started_directly_while_too_many_ended_attempts_are_kept() {
+    let mut machine = machine();
+    machine.fenced = true;
+    let id = |attempt| AttemptId { attempt: AttemptNumber(attempt), ..first_attempt() };
+    for attempt in 1..=200 {
+        let ended = TaskAttempt {
+            phase: AttemptPhase::Exited,
+            acknowledged: true,
+            ..attempt_with_requested_start("job-000001/0", Some(FencingToken(7)))
+        };
+        machine.attempts.insert(id(attempt), ended);
+    }
+    machine.attempts.insert(id(201), attempt_with_requested_start("job-000001/0", None));
+    assert!(machine.direct_commands().is_empty());
+    let start = WorkerCommand::Start { task: "job-000001/0".into(), attempt: 201 };
+    assert_eq!(machine.heartbeat_commands(), [start]);
+    machine.raise_message_token(FencingToken(8));
+    assert_eq!(machine.heartbeat_commands().len(), 201, "all that have ended are forgotten, and the start is repeated");
+    machine.attempts.insert(id(202), attempt_with_requested_start("job-000001/0", None));
+    assert_eq!(machine.direct_commands().len(), 1);
+}
+
+/// Every token of this leader's term fences a machine, and no token of another term does.
+#[test]
+fn a_machine_is_fenced_by_any_token_of_the_term() {
+    let mut tokens = TermTokens::new(FencingToken(7));
+    tokens.add_confirmed_revision(Revision(12));
+    for (token, fences) in [(6, false), (7, true), (9, true), (12, true), (13, false)] {
+        let mut machine = machine();
+        machine.apply_message(Timestamp::ZERO, &heartbeat(1, 1, token, json!([])), tokens, &mut Vec::new());
+        assert_eq!(machine.fenced, fences, "token {token}");
+    }
 }
 
 #[test]
@@ -202,11 +287,16 @@
     machine.apply_message(
         Timestamp::from_millis(100),
         &heartbeat(1, 5, 6, running.clone()),
-        FencingToken(7),
+        TermTokens::new(FencingToken(7)),
         &mut events,
     );
     assert!(events.is_empty() && !machine.fenced);
-    machine.apply_message(Timestamp::from_millis(101), &heartbeat(1, 6, 7, running), FencingToken(7), &mut events);
+    machine.apply_message(
+        Timestamp::from_millis(101),
+        &heartbeat(1, 6, 7, running),
+        TermTokens::new(FencingToken(7)),
+        &mut events,
+    );
     assert_eq!(
         events,
         [MachineEvent::Fenced, MachineEvent::AttemptDiscovered { id: first_attempt(), has_ended: false }]
--- a/src/write_ahead_log.rs
+++ b/src/write_ahead_log.rs
@@ -9,6 +9,7 @@
 mod loading;
 mod record;
 mod requests;
+mod revision_write;
 mod snapshot;
 
 use crate::settings::{StateLimits, Tuning};
@@ -22,6 +23,7 @@
 use loading::LoadProgress;
 pub use record::{LogRecord, MAX_ENDED_JOBS, MAX_TASK_RANGES, MachineRecord};
 use requests::{InFlightRequests, RequestPurpose};
+use revision_write::RevisionWrite;
 use snapshot::{Manifest, SnapshotWrite};
 use std::collections::VecDeque;
 
@@ -63,6 +65,8 @@
     LoadComplete,
     /// These records are committed: they survive the loss of every controller.
     RecordsDurable(Vec<LogRecord>),
+    /// A write that was conditional on the leader key was executed at this revision, and its response has arrived.
+    WriteConfirmed(Revision),
     /// A write failed because the leader key no longer has the revision at which this node was elected: it is not the
     /// leader any more.
     LeaderKeyLost,
@@ -119,6 +123,7 @@
     snapshot_interval_entries: u64,
     /// Number of snapshots that this leader has begun; part of their generation's name.
     snapshot_counter: u64,
+    revision_write: RevisionWrite,
 }
 
 fn write_budget_capacity(rate_per_s: f64) -> f64 {
@@ -169,6 +174,7 @@
             entries_since_snapshot: 0,
             snapshot_interval_entries: tuning.snapshot_interval_entries,
             snapshot_counter: 0,
+            revision_write: RevisionWrite::default(),
         }
     }
 
@@ -225,6 +231,7 @@
         if self.loaded {
             self.commit_if_due(now, out);
             self.advance_snapshot(now, out);
+            self.write_revision_if_due(now, out);
         }
     }
 
@@ -236,11 +243,11 @@
             (RequestPurpose::LoadSnapshot | RequestPurpose::LoadEntries, 200) => {
                 self.handle_load_response(now, id, purpose, response, out)
             }
-            (RequestPurpose::Commit | RequestPurpose::Snapshot, 200) => {
+            (RequestPurpose::Commit | RequestPurpose::Snapshot | RequestPurpose::RaiseRevision, 200) => {
                 self.handle_write_success(now, id, response, out);
                 true
             }
-            (RequestPurpose::Commit | RequestPurpose::Snapshot, 409) => {
+            (RequestPurpose::Commit | RequestPurpose::Snapshot | RequestPurpose::RaiseRevision, 409) => {
                 self.handle_conflict(now, id, response, out);
                 true
             }
@@ -275,9 +282,14 @@
 
     fn handle_write_success(&mut self, now: Timestamp, id: u64, response: &ServiceResponse, out: &mut Vec<LogEvent>) {
         let Some(request) = self.in_flight.take(id) else { return };
+        let committed = response.parse::<CompareAndSwapResponse>();
+        let revision = committed.map(|committed| Revision(committed.revision));
         if request.writes_manifest() {
-            let committed = response.parse::<CompareAndSwapResponse>();
-            self.manifest_revision = committed.map(|committed| Revision(committed.revision));
+            self.manifest_revision = revision;
+        }
+        if let Some(revision) = revision {
+            self.revision_write.requested = false;
+            out.push(LogEvent::WriteConfirmed(revision));
         }
         self.complete_write(now, request.purpose, out);
     }
@@ -309,11 +321,20 @@
     }
 
     fn complete_write(&mut self, now: Timestamp, purpose: RequestPurpose, out: &mut Vec<LogEvent>) {
-        if purpose == RequestPurpose::Commit {
-            out.push(LogEvent::RecordsDurable(std::mem::take(&mut self.committing)));
-            self.tick(now, out);
-        } else if let Some(snapshot) = &mut self.snapshot_write {
-            snapshot.complete_step();
+        match purpose {
+            RequestPurpose::Commit => {
+                out.push(LogEvent::RecordsDurable(std::mem::take(&mut self.committing)));
+                self.tick(now, out);
+            }
+            RequestPurpose::Snapshot => {
+                if let Some(snapshot) = &mut self.snapshot_write {
+                    snapshot.complete_step();
+                }
+            }
+            RequestPurpose::RaiseRevision
+            | RequestPurpose::LoadSnapshot
+            | RequestPurpose::LoadEntries
+            | RequestPurpose::ReadManifestRevision => {}
         }
     }
 
--- a/src/write_ahead_log/requests.rs
+++ b/src/write_ahead_log/requests.rs
@@ -23,6 +23,8 @@
     /// Reads the manifest's revision when it is not known, after a write of it failed or its response could not be
     /// parsed.
     ReadManifestRevision,
+    /// Writes a key that nobody reads, to obtain a higher revision.
+    RaiseRevision,
 }
 
 /// A request without a response.
--- a/src/write_ahead_log/tests.rs
+++ b/src/write_ahead_log/tests.rs
@@ -137,3 +137,64 @@
     log.begin_snapshot([LogRecord::JobCancelled(JobId(1))].into_iter());
     assert!(log.snapshot_write.is_some());
 }
+
+/// The transaction that was requested last, with its number.
+fn last_transaction(out: &mut Vec<LogEvent>) -> Option<(u64, crate::wire::CompareAndSwap)> {
+    match out.drain(..).next_back() {
+        Some(LogEvent::Request(id, StoreRequest::CompareAndSwap(swap))) => Some((id, swap)),
+        _ => None,
+    }
+}
+
+/// A higher revision for a fencing token comes from a transaction that was confirmed and conditional on the leader key.
+#[test]
+fn a_requested_revision_is_written_on_condition_of_the_leader_key() {
+    let (mut log, mut out) = (loaded_log(), Vec::new());
+    log.tick(Timestamp::from_millis(1000), &mut out);
+    assert_eq!(out, [], "nothing was requested");
+    log.request_higher_revision();
+    log.tick(Timestamp::from_millis(1000), &mut out);
+    let (id, swap) = last_transaction(&mut out).expect("a write");
+    assert_eq!(swap.conditions, [crate::store::condition("leader", Revision(5))]);
+    assert!(matches!(&swap.writes[..], [StoreWrite::Put { key, lease: None, .. }] if key == "fencing/revision"));
+    log.tick(Timestamp::from_millis(2000), &mut out);
+    assert_eq!(out, [], "one write at a time");
+    log.handle_response(Timestamp::from_millis(2100), id, &ServiceResponse::none(), &mut out);
+    assert_eq!(out, [], "a write without a response confirms nothing");
+    log.tick(Timestamp::from_millis(2200), &mut out);
+    let (id, _) = last_transaction(&mut out).expect("a retry");
+    log.handle_response(Timestamp::from_millis(2210), id, &response(200, json!({"Ledger": 31})), &mut out);
+    assert_eq!(out, [LogEvent::WriteConfirmed(Revision(31))]);
+    out.clear();
+    log.tick(Timestamp::from_millis(9000), &mut out);
+    assert_eq!(out, [], "the request is fulfilled");
+    log.request_higher_revision();
+    log.tick(Timestamp::from_millis(9001), &mut out);
+    let (id, _) = last_transaction(&mut out).expect("a write");
+    let refused = response(409, json!({"failed": ["leader"], "Ledger": 40}));
+    log.handle_response(Timestamp::from_millis(9010), id, &refused, &mut out);
+    assert_eq!(out, [LogEvent::LeaderKeyLost]);
+}
+
+/// A commit provides the revision if there is one. After a commit whose response was lost, the revision in the refusal of
+/// its retry is not the commit's own and is not used.
+#[test]
+fn a_commit_provides_the_revision_unless_its_response_was_lost() {
+    let (mut log, mut out) = (loaded_log(), Vec::new());
+    log.request_higher_revision();
+    log.append(LogRecord::JobCancelled(JobId(1)));
+    log.tick(Timestamp::from_millis(1000), &mut out);
+    let (id, swap) = last_transaction(&mut out).expect("a commit");
+    assert!(matches!(&swap.writes[..], [StoreWrite::Put { key, .. }] if key.starts_with("log/")));
+    log.handle_response(Timestamp::from_millis(1010), id, &ServiceResponse::none(), &mut out);
+    log.tick(Timestamp::from_millis(1100), &mut out);
+    let (id, _) = last_transaction(&mut out).expect("a retry");
+    let refused = response(409, json!({"failed": ["log/000000000001"], "Ledger": 40}));
+    log.handle_response(Timestamp::from_millis(1110), id, &refused, &mut out);
+    assert_eq!(out[0], LogEvent::RecordsDurable(vec![LogRecord::JobCancelled(JobId(1))]));
+    assert!(!out.iter().any(|event| matches!(event, LogEvent::WriteConfirmed(_))));
+    let (id, swap) = last_transaction(&mut out).expect("a write for the revision");
+    assert!(matches!(&swap.writes[..], [StoreWrite::Put { key, .. }] if key == "fencing/revision"));
+    log.handle_response(Timestamp::from_millis(1120), id, &response(200, json!({"Ledger": 41})), &mut out);
+    assert_eq!(out, [LogEvent::WriteConfirmed(Revision(41))]);
+}
--- a/tests/random_faults.rs
+++ b/tests/random_faults.rs
@@ -24,6 +24,8 @@
     LoseInbound(u64),
     DuplicateHeartbeats(u64, u64),
     DuplicateRequests(u64, u64),
+    /// Every direct command that was sent so far is delivered once more.
+    RepeatCommands,
     Isolate(usize),
     PartitionFromWorkers(usize),
     IsolateZone(usize),
@@ -154,6 +156,7 @@
         Fault::LoseInbound(n) => sim.faults.inbound_lost.extend(nth_machine(sim, *n)),
         Fault::DuplicateHeartbeats(share, late) => sim.faults.duplicate_heartbeats = (*share, *late),
         Fault::DuplicateRequests(share, late) => sim.faults.duplicate_requests = (*share, *late),
+        Fault::RepeatCommands => sim.repeat_recorded_commands(),
         Fault::PartitionFromWorkers(n) => drop(sim.faults.partitioned_from_workers.insert(*n)),
         Fault::IsolateZone(n) => sim.isolate_zone(support::zone_of(&sim.site.clone(), *n), *n),
         Fault::EndWorkerPartition => sim.faults.partitioned_from_workers.clear(),
@@ -246,6 +249,7 @@
 /// Injects the faults one after the other, each after its gap in ms, and checks the invariants after each. Returns the
 /// time of the last fault.
 fn inject_in_turn(sim: &mut Simulation, begin: u64, faults: &[(u64, Fault)]) -> Result<u64, TestCaseError> {
+    sim.faults.record_commands = true;
     let mut at = begin;
     for (gap, fault) in faults {
         at = at.max(sim.now) + gap;
@@ -322,6 +326,35 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 100,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(47),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a task that is started by a late copy of a direct command. The last copies come minutes after the
+    /// commands, when most jobs have ended.
+    #[test]
+    fn no_order_of_faults_and_late_commands_breaks_a_rule(
+        seed in 0u64..1000,
+        faults in proptest::collection::vec((0u64..6000, prop_oneof![5 => fault(), 1 => Just(Fault::RepeatCommands)]), 10..40),
+    ) {
+        let mut sim = Simulation::new(seed);
+        sim.submit("job-000001", &three_spread_replicas());
+        let at = inject_in_turn(&mut sim, 8000, &faults)?;
+        sim.end_all_faults();
+        for minutes in 1..=5 {
+            sim.run_until(at + minutes * 60_000);
+            sim.repeat_recorded_commands();
+        }
+        sim.run_until(sim.now + 20_000);
+        prop_assert!(sim.violations.is_empty(), "{:?}", sim.violations);
+        check_all_ended(&sim)?;
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 50,
--- a/tests/support/controllers.rs
+++ b/tests/support/controllers.rs
@@ -27,7 +27,7 @@
     /// Real time spent in the controllers' state machines: the total, and the maximum for a single input.
     pub processing_time: (std::time::Duration, std::time::Duration),
     /// The highest fencing token of any leader so far.
-    pub(super) highest_token: u64,
+    pub highest_token: u64,
     /// Simulated time at which the leader with `highest_token` was elected, in milliseconds.
     pub(super) highest_token_since: u64,
 }
@@ -241,6 +241,9 @@
             Effect::SendCommands { token, machine, id, body, .. } => {
                 self.requests.direct_commands += 1;
                 let machine = machine.0;
+                if self.faults.record_commands {
+                    self.faults.recorded_commands.push((machine, Box::new(body.clone())));
+                }
                 if let Some(late) = self.duplicate_delay() {
                     self.schedule(late, Event::DuplicateCommand(machine, Box::new(body.clone())));
                 }
--- a/tests/support/faults.rs
+++ b/tests/support/faults.rs
@@ -38,6 +38,9 @@
     /// Percentage of transactions and direct commands that are delivered a second time although they got a response,
     /// and the maximum additional delay in milliseconds.
     pub duplicate_requests: (u64, u64),
+    /// Whether direct commands are recorded, for `repeat_recorded_commands`.
+    pub record_commands: bool,
+    pub(super) recorded_commands: Vec<(u64, Box<CommandBatch>)>,
     /// Zones that are partitioned, including all machines that are provisioned there later.
     pub(super) partitioned_zones: BTreeSet<String>,
 }
@@ -173,6 +176,21 @@
         (percent > 0 && self.random_below(100) < percent).then(|| 20 + self.random_below(max_delay_ms.max(1)))
     }
 
+    /// Delivers every recorded direct command to its machine once more, at random times within the next second.
+    pub fn repeat_recorded_commands(&mut self) {
+        for (machine, body) in self.faults.recorded_commands.clone() {
+            let delay = self.random_below(1000);
+            self.schedule(delay, Event::DuplicateCommand(machine, body));
+        }
+    }
+
+    /// Whether a recorded direct command contained a start of this task.
+    pub fn was_started_directly(&self, task: &str) -> bool {
+        let is_start =
+            |command: &WorkerCommand| matches!(command, WorkerCommand::Start { task: started, .. } if started == task);
+        self.faults.recorded_commands.iter().any(|(_, body)| body.commands.iter().any(is_start))
+    }
+
     /// Ends all faults and starts all controllers that are down.
     pub fn end_all_faults(&mut self) {
         self.store.down = false;
--- a/tests/support/workers.rs
+++ b/tests/support/workers.rs
@@ -136,6 +136,17 @@
         tasks.filter(|t| t.state == TaskState::Running && t.task.starts_with(&prefix)).count()
     }
 
+    /// Returns the number of attempts that have exited and that their workers still report.
+    pub fn exited_attempts(&self) -> usize {
+        let tasks = self.workers.values().flat_map(|w| w.tasks.values());
+        tasks.filter(|t| t.state == TaskState::Exited).count()
+    }
+
+    /// Returns the highest fencing token that any worker has seen.
+    pub fn highest_worker_token(&self) -> u64 {
+        self.workers.values().map(|w| w.fencing_token).max().unwrap_or(0)
+    }
+
     /// Returns the machine that runs a task.
     pub fn machine_running(&self, task: &str) -> Option<u64> {
         let runs = |w: &Worker| w.tasks.values().any(|t| t.task == task && t.state == TaskState::Running);
