Leader: one context for each input, messages of workers in a module of their own

Entry functions of the leader took the time, the wall clock and the lease's validity one by one, the longest with a lint switched off for it; they take an InputContext. What heartbeats and responses to direct commands share moves from leader::heartbeats to leader::worker_messages, with one check for a later leader's token in place of two. A TaskAttempt has one place that lists its fields, and the details of its job are set by one function in place of two.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -10,7 +10,7 @@
 
 use crate::api::ApiResponse;
 use crate::effects::{Effect, Input, RequestOrigin, StoreCaller};
-use crate::leader::Leader;
+use crate::leader::{InputContext, Leader};
 use crate::leadership::Leadership;
 use crate::settings::Settings;
 use crate::store::ServiceResponse;
@@ -108,13 +108,13 @@
                 self.handle_store_response(now, wall, caller, id, &response, &mut out);
             }
             Input::CloudResponse(token, id, response) => {
-                self.with_leader(now, token, &mut out, |leader, lease_valid, out| {
-                    leader.handle_cloud_response(now, wall, lease_valid, id, &response, out);
+                self.with_leader(now, wall, token, &mut out, |leader, context, out| {
+                    leader.handle_cloud_response(context, id, &response, out);
                 });
             }
             Input::CommandResponse(token, machine, id, response) => {
-                self.with_leader(now, token, &mut out, |leader, lease_valid, out| {
-                    leader.handle_command_response(now, wall, lease_valid, machine, id, &response, out);
+                self.with_leader(now, wall, token, &mut out, |leader, context, out| {
+                    leader.handle_command_response(context, machine, id, &response, out);
                 });
             }
             Input::ForwardResponse(id, response) => self.handle_forward_response(id, response, &mut out),
@@ -179,11 +179,11 @@
                 self.upgrade.handle_response(now, id, response, &mut events);
                 self.apply_upgrade_events(events, out);
             }
-            StoreCaller::WriteAheadLog(token) => self.with_leader(now, token, out, |leader, lease_valid, out| {
-                leader.handle_store_response(now, wall, lease_valid, id, response, out);
+            StoreCaller::WriteAheadLog(token) => self.with_leader(now, wall, token, out, |leader, context, out| {
+                leader.handle_store_response(context, id, response, out);
             }),
-            StoreCaller::Drains(token) => self.with_leader(now, token, out, |leader, lease_valid, out| {
-                leader.handle_drain_store_response(now, wall, lease_valid, id, response, out);
+            StoreCaller::Drains(token) => self.with_leader(now, wall, token, out, |leader, context, out| {
+                leader.handle_drain_store_response(context, id, response, out);
             }),
             StoreCaller::AdmissionStatus => {}
         }
@@ -194,24 +194,30 @@
     fn with_leader(
         &mut self,
         now: Timestamp,
+        wall: WallClock,
         token: u64,
         out: &mut Vec<Effect>,
-        act: impl FnOnce(&mut Leader, bool, &mut Vec<Effect>),
+        act: impl FnOnce(&mut Leader, InputContext, &mut Vec<Effect>),
     ) {
-        let lease_valid = self.leadership.holds_valid_lease(now);
+        let context = self.input_context(now, wall);
         if let Some(leader) = self.leader.as_mut().filter(|leader| leader.token().0 == token) {
-            act(leader, lease_valid, out);
+            act(leader, context, out);
         }
         self.step_down_if_required(now, out);
     }
 
+    fn input_context(&self, now: Timestamp, wall: WallClock) -> InputContext {
+        InputContext { now, wall, lease_valid: self.leadership.holds_valid_lease(now) }
+    }
+
     fn tick(&mut self, now: Timestamp, wall: WallClock, out: &mut Vec<Effect>) {
         let mut events = Vec::new();
         self.leadership.tick(now, &mut events);
         self.apply_leadership_events(now, wall, events, out);
-        let lease_valid = self.leadership.holds_valid_lease(now);
+        let context = self.input_context(now, wall);
+        let lease_valid = context.lease_valid;
         self.tick_upgrade(now, lease_valid, out);
-        self.tick_leader(now, wall, lease_valid, out);
+        self.tick_leader(context, out);
         self.step_down_if_required(now, out);
         if lease_valid {
             self.announce(now, out);
@@ -229,7 +235,8 @@
         self.apply_upgrade_events(events, out);
     }
 
-    fn tick_leader(&mut self, now: Timestamp, wall: WallClock, lease_valid: bool, out: &mut Vec<Effect>) {
+    fn tick_leader(&mut self, context: InputContext, out: &mut Vec<Effect>) {
+        let InputContext { now, lease_valid, .. } = context;
         let may_yield = lease_valid && self.may_yield(now);
         if let Some(leader) = self.leadership.leader() {
             self.last_led_at.insert(leader.to_string(), now);
@@ -240,7 +247,7 @@
         let recent_leader_zones = self.recent_leader_zones(now);
         let Some(leader) = &mut self.leader else { return };
         leader.set_recent_leader_zones(recent_leader_zones);
-        leader.tick(now, wall, lease_valid, out);
+        leader.tick(context, out);
         if may_yield {
             leader.detect_isolation();
         }
@@ -278,10 +285,10 @@
         heartbeat: &Heartbeat,
         out: &mut Vec<Effect>,
     ) {
-        let lease_valid = self.leadership.holds_valid_lease(now);
+        let context = self.input_context(now, wall);
         let response = match (&mut self.leader, self.leadership.leader()) {
             (Some(leader), _) if leader.is_loaded() => {
-                leader.handle_heartbeat(now, wall, lease_valid, origin, heartbeat, out);
+                leader.handle_heartbeat(context, origin, heartbeat, out);
                 return self.step_down_if_required(now, out);
             }
             (Some(_), _) => ApiResponse::unavailable("loading"),
--- a/src/controller/user_requests.rs
+++ b/src/controller/user_requests.rs
@@ -86,10 +86,10 @@
     /// Serves the request if this node leads, forwards it if the leader is connected, and otherwise queues or rejects
     /// it.
     fn route_user_request(&mut self, now: Timestamp, wall: WallClock, queued: QueuedRequest, out: &mut Vec<Effect>) {
-        let lease_valid = self.leadership.holds_valid_lease(now);
+        let context = self.input_context(now, wall);
         if let Some(leader) = &mut self.leader {
             if leader.is_loaded() {
-                return leader.handle_user_request(now, wall, lease_valid, queued.origin, &queued.request, out);
+                return leader.handle_user_request(context, queued.origin, &queued.request, out);
             }
         } else if let Some(leader) = self.leader_to_forward_to(queued.origin) {
             return self.forward(now, leader, queued.origin, queued.request, out);
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -26,6 +26,7 @@
 mod scheduling;
 mod tasks;
 mod user_requests;
+mod worker_messages;
 
 use crate::cloud::CloudInstances;
 use crate::effects::{Effect, StoreCaller};
@@ -92,6 +93,17 @@
     step_down_reason: Option<StepDownReason>,
 }
 
+/// When an input is handled, and whether this node is certainly still the leader then.
+#[derive(Debug, Clone, Copy)]
+pub struct InputContext {
+    /// Monotonic time.
+    pub now: Timestamp,
+    /// Wall-clock time.
+    pub wall: WallClock,
+    /// Whether this node's lease guarantees that no other node has been elected.
+    pub lease_valid: bool,
+}
+
 impl Leader {
     /// The state of a newly elected node, which has not loaded any log record yet.
     pub fn new(token: FencingToken, format: Format, now: Timestamp, settings: &Settings) -> Leader {
@@ -190,9 +202,9 @@
     }
 
     /// Runs the periodic work: commits, snapshots, requests to the cloud, health checks, timeouts of users' requests,
-    /// planning and drains. `lease_valid` is true while this node's lease guarantees that no other node has been
-    /// elected.
-    pub fn tick(&mut self, now: Timestamp, wall: WallClock, lease_valid: bool, out: &mut Vec<Effect>) {
+    /// planning and drains.
+    pub fn tick(&mut self, context: InputContext, out: &mut Vec<Effect>) {
+        let InputContext { now, wall, lease_valid } = context;
         let mut events = Vec::new();
         self.log.tick(now, &mut events);
         self.apply_log_events(now, wall, events, out);
@@ -212,7 +224,7 @@
         }
         self.pending_requests.expire(now, out);
         self.detect_fencing_completion(now);
-        self.schedule_if_due(now, wall, lease_valid, out);
+        self.schedule_if_due(context, out);
         self.sync_drain_records(now, lease_valid, out);
         self.flush(now, out);
     }
--- a/src/leader/cloud_events.rs
+++ b/src/leader/cloud_events.rs
@@ -1,6 +1,6 @@
 //! Handles the cloud's responses: machines that have been provisioned, have failed or are gone.
 
-use super::Leader;
+use super::{InputContext, Leader};
 use crate::cloud::{CloudEvent, PendingInstance};
 use crate::effects::Effect;
 use crate::store::ServiceResponse;
@@ -13,13 +13,12 @@
     /// Processes the cloud's response to the request with this id.
     pub fn handle_cloud_response(
         &mut self,
-        now: Timestamp,
-        wall: WallClock,
-        lease_valid: bool,
+        context: InputContext,
         id: u64,
         response: &ServiceResponse,
         out: &mut Vec<Effect>,
     ) {
+        let InputContext { now, wall, .. } = context;
         let mut events = Vec::new();
         let machines = &self.machines;
         let knew_machine_types = self.cloud.machine_types().is_some();
@@ -28,7 +27,7 @@
             self.planning.changed_machines.extend(self.machines.keys());
         }
         self.apply_cloud_events(now, wall, events, out);
-        self.schedule_if_due(now, wall, lease_valid, out);
+        self.schedule_if_due(context, out);
         self.flush(now, out);
     }
 
--- a/src/leader/drains.rs
+++ b/src/leader/drains.rs
@@ -8,7 +8,7 @@
 
 use crate::cloud::{InstancePool, MAX_INSTANCES_PER_REQUEST};
 use crate::effects::{Effect, StoreCaller};
-use crate::leader::Leader;
+use crate::leader::{InputContext, Leader};
 use crate::leadership::StepDownReason;
 use crate::settings::Settings;
 use crate::store::ServiceResponse;
@@ -92,13 +92,12 @@
     /// leader key has changed.
     pub fn handle_drain_store_response(
         &mut self,
-        now: Timestamp,
-        wall: WallClock,
-        lease_valid: bool,
+        context: InputContext,
         id: u64,
         service_response: &ServiceResponse,
         out: &mut Vec<Effect>,
     ) {
+        let InputContext { now, wall, lease_valid } = context;
         let response = record_store::store_response(service_response);
         if response == StoreResponse::Conflict && record_store::leader_key_changed(service_response, self.format()) {
             self.step_down_reason = Some(StepDownReason::LeaderKeyChanged);
--- a/src/leader/heartbeats.rs
+++ b/src/leader/heartbeats.rs
@@ -1,15 +1,13 @@
-//! Handles workers' heartbeats and their responses to direct commands, and applies the events that follow from both.
+//! Handles workers' heartbeats and creates the responses to them.
 
-use super::Leader;
+use super::{InputContext, Leader};
 use crate::api::ApiResponse;
 use crate::effects::{Effect, RequestOrigin};
-use crate::leadership::StepDownReason;
-use crate::store::ServiceResponse;
-use crate::types::{FencingToken, MachineId, Resources, Timestamp, WallClock};
+use crate::types::{MachineId, Resources, Timestamp, WallClock};
 use crate::wire::{Heartbeat, HeartbeatResponse};
-use crate::workers::{self, Machine, MachineEvent, Registration};
+use crate::workers::{self, Machine, Registration};
 use crate::write_ahead_log::{LogRecord, MachineRecord};
-use log::{debug, info};
+use log::info;
 
 /// Why a heartbeat is rejected. The texts are part of the API.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -41,13 +39,12 @@
     /// Processes a worker's heartbeat; the response contains the commands for the worker.
     pub fn handle_heartbeat(
         &mut self,
-        now: Timestamp,
-        wall: WallClock,
-        lease_valid: bool,
+        context: InputContext,
         origin: RequestOrigin,
         heartbeat: &Heartbeat,
         out: &mut Vec<Effect>,
     ) {
+        let InputContext { now, wall, lease_valid } = context;
         let id = match self.accept_heartbeat(now, wall, heartbeat) {
             Ok(id) => id,
             Err(error) => return out.push(Effect::Respond(origin, error.into())),
@@ -56,7 +53,7 @@
         self.update_reachability(now, id);
         self.register_machine(lease_valid, id);
         self.request_fencing_confirmation(id);
-        self.schedule_if_due(now, wall, lease_valid, out);
+        self.schedule_if_due(context, out);
         if state_changed {
             // Starts that are planned on this machine now are sent with the response.
             self.start_next_tasks(now, id);
@@ -75,8 +72,7 @@
         wall: WallClock,
         heartbeat: &Heartbeat,
     ) -> Result<MachineId, HeartbeatError> {
-        if self.tokens.is_superseded_by(FencingToken(heartbeat.fencing_token)) {
-            self.step_down_reason = Some(StepDownReason::HigherFencingToken);
+        if self.step_down_if_superseded(heartbeat) {
             return Err(HeartbeatError::HigherFencingToken);
         }
         let id: MachineId = heartbeat.machine.parse().map_err(|_| HeartbeatError::MalformedMachineName)?;
@@ -175,83 +171,4 @@
             self.log.append(LogRecord::MachineRegistered(machine.record.clone()));
         }
     }
-
-    /// Processes a worker's response to a direct command, or the lack of a response.
-    #[allow(clippy::too_many_arguments)]
-    pub fn handle_command_response(
-        &mut self,
-        now: Timestamp,
-        wall: WallClock,
-        lease_valid: bool,
-        id: MachineId,
-        command: u64,
-        response: &ServiceResponse,
-        out: &mut Vec<Effect>,
-    ) {
-        // 200: the commands were executed. 409: they were rejected and will never be executed. Any other status: they
-        // may still be executed later.
-        let responded = matches!(response.status, 200 | 409);
-        self.command_dispatch.command_finished();
-        if let Some(machine) = self.machines.get_mut(&id) {
-            machine.record_command_outcome(now, command, responded);
-            self.planning.changed_machines.insert(id);
-        }
-        if responded && let Some(message) = response.parse::<Heartbeat>() {
-            if self.tokens.is_superseded_by(FencingToken(message.fencing_token)) {
-                self.step_down_reason = Some(StepDownReason::HigherFencingToken);
-                return;
-            }
-            if message.machine == id.to_string() {
-                self.apply_worker_message(now, id, &message);
-            }
-        }
-        self.update_reachability(now, id);
-        self.register_machine(lease_valid, id);
-        if responded {
-            // Further commands may have been requested while this one was in flight, or the machine is not fenced yet.
-            self.command_dispatch.enqueue(id);
-        }
-        self.schedule_if_due(now, wall, lease_valid, out);
-        self.flush(now, out);
-    }
-
-    /// Applies a worker's message to the state of its machine. Returns whether any event followed from it.
-    fn apply_worker_message(&mut self, now: Timestamp, id: MachineId, message: &Heartbeat) -> bool {
-        let Some(machine) = self.machines.get_mut(&id) else { return false };
-        let was_reclaimed = machine.reclaim_at.is_some();
-        let mut events = Vec::new();
-        machine.apply_message(now, message, self.tokens, &mut events);
-        self.planning.changed_machines.insert(id);
-        if !was_reclaimed && machine.reclaim_at.is_some() {
-            info!("interruption notice machine={id} reclaim_in_s={}", message.reclaim_in_s.unwrap_or_default());
-            self.reclaimed_machines.insert(id);
-            self.planning.replan_needed = true;
-        }
-        let state_changed = !events.is_empty();
-        self.planning.replan_needed |= state_changed;
-        self.apply_machine_events(now, id, events);
-        state_changed
-    }
-
-    /// Applies the events that follow from a worker's message or from the loss of its machine.
-    pub(crate) fn apply_machine_events(&mut self, now: Timestamp, id: MachineId, events: Vec<MachineEvent>) {
-        for event in events {
-            match event {
-                MachineEvent::Fenced => {
-                    info!("machine fenced machine={id} token={}", self.token);
-                    self.fencing.machine_fenced(now, id);
-                }
-                MachineEvent::ImageCached(image) => self.log.append(LogRecord::ImageCached(id, image)),
-                MachineEvent::AttemptDiscovered { id: attempt, has_ended } => {
-                    self.adopt_attempt(now, id, attempt, has_ended)
-                }
-                MachineEvent::AttemptRunning(attempt) => self.attempt_running(now, attempt),
-                MachineEvent::AttemptLost(task) => {
-                    debug!("task lost task={task} machine={id}");
-                    self.attempt_lost(now, id, task);
-                }
-                MachineEvent::AttemptExited(exit) => self.attempt_exited(now, id, exit),
-            }
-        }
-    }
 }
--- a/src/leader/log_records.rs
+++ b/src/leader/log_records.rs
@@ -1,8 +1,8 @@
 //! Log records: restoring the leader's state from them after an election, and acting on this leader's own records once
 //! they are durable.
 
-use super::Leader;
 use super::cloud_events::provisioning_record;
+use super::{InputContext, Leader};
 use crate::api::ApiResponse;
 use crate::cloud::PendingInstance;
 use crate::effects::{Effect, StoreCaller};
@@ -19,17 +19,16 @@
     /// Processes the state service's response to a request of the log.
     pub fn handle_store_response(
         &mut self,
-        now: Timestamp,
-        wall: WallClock,
-        lease_valid: bool,
+        context: InputContext,
         id: u64,
         response: &ServiceResponse,
         out: &mut Vec<Effect>,
     ) {
+        let InputContext { now, wall, .. } = context;
         let mut events = Vec::new();
         self.log.handle_response(now, id, response, &mut events);
         self.apply_log_events(now, wall, events, out);
-        self.schedule_if_due(now, wall, lease_valid, out);
+        self.schedule_if_due(context, out);
     }
 
     pub(super) fn apply_log_events(
--- a/src/leader/scheduling.rs
+++ b/src/leader/scheduling.rs
@@ -5,13 +5,13 @@
 use crate::cloud;
 use crate::effects::Effect;
 use crate::jobs::{self, Job};
-use crate::leader::Leader;
+use crate::leader::{InputContext, Leader};
 use crate::plan::{
     self, Correction, JobDirectory, JobProfile, PlacementBias, PlannedMachine, PlannedTasks, Plans, PredictedDurations,
     QueueEntry, QueuePriority, ResourceRelease, ZoneAllowance,
 };
 use crate::types::{AttemptId, Duration, JobId, MachineId, Resources, TaskId, Timestamp, WallClock};
-use crate::workers::{AttemptPhase, Machine, TaskAttempt};
+use crate::workers::{Machine, TaskAttempt};
 use log::{debug, info};
 use quotas::TeamUsage;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -110,13 +110,8 @@
 impl Leader {
     /// Runs a round of planning if one is due. Provisioning and drains have longer intervals of their own; if they are
     /// due, they run in the same call, but only while the leader's lease is valid.
-    pub(crate) fn schedule_if_due(
-        &mut self,
-        now: Timestamp,
-        wall: WallClock,
-        lease_valid: bool,
-        out: &mut Vec<Effect>,
-    ) {
+    pub(crate) fn schedule_if_due(&mut self, context: InputContext, out: &mut Vec<Effect>) {
+        let InputContext { now, wall, lease_valid } = context;
         if !self.is_loaded() || self.cloud.machine_types().is_none() {
             return;
         }
--- a/src/leader/scheduling/starts.rs
+++ b/src/leader/scheduling/starts.rs
@@ -166,27 +166,8 @@
         self.admission.record_start(&TeamClassPair::new(&job.spec.team, &job.spec.class));
         usage.add(&job.spec.team, &job.spec.resources);
         machine.idle_since = None;
-        machine.attempts.insert(
-            attempt,
-            TaskAttempt {
-                task: attempt.task,
-                phase: AttemptPhase::StartRequested,
-                acknowledged: false,
-                stop_grace_s: None,
-                start_sent: false,
-                stop_sent: false,
-                direct_start_token: None,
-                forgettable: false,
-                assigned: true,
-                resources: job.spec.resources,
-                priority: job.spec.priority,
-                image: job.spec.image.clone(),
-                requested_at: now,
-                running_since: None,
-                predicted_duration,
-                in_gang: job.gang.is_some(),
-            },
-        );
+        let requested = TaskAttempt::requested(attempt.task, &job.spec, predicted_duration, now);
+        machine.attempts.insert(attempt, requested);
         self.planning.plans.set_free(id, machine.free_resources());
         self.command_dispatch.enqueue(id);
         self.planning.changed_machines.insert(id);
--- a/src/leader/tasks/adoption.rs
+++ b/src/leader/tasks/adoption.rs
@@ -20,7 +20,8 @@
         let Some(machine) = self.machines.get_mut(&machine_id) else { return };
         let Some(attempt) = machine.attempts.get_mut(&id) else { return };
         let Some(job) = self.jobs.get_mut(id.task.job) else { return };
-        fill_in_job_details(attempt, job);
+        let predicted_duration = (!job.spec.is_service).then_some(job.spec.estimated_duration);
+        attempt.set_job_details(&job.spec, predicted_duration);
         let adoption = job.gang.as_mut().map(|gang| gang.adopt(now, id.attempt, machine_id, has_ended));
         let is_adoptable = match adoption {
             // The task is not part of a gang. An attempt that has ended is adopted as well, so that its exit is applied
@@ -53,15 +54,6 @@
     }
 }
 
-/// Sets the properties of an attempt that workers do not report.
-fn fill_in_job_details(attempt: &mut TaskAttempt, job: &Job) {
-    attempt.resources = job.spec.resources;
-    attempt.priority = job.spec.priority;
-    attempt.image.clone_from(&job.spec.image);
-    attempt.predicted_duration = (!job.spec.is_service).then_some(job.spec.estimated_duration);
-    attempt.in_gang = job.gang.is_some();
-}
-
 /// Continues the stop of a gang that an earlier leader has begun, so that the gang's other tasks receive the stop in
 /// time as well.
 fn continue_gang_stop(job: &mut Job, attempt: &mut TaskAttempt) {
--- a/src/leader/user_requests.rs
+++ b/src/leader/user_requests.rs
@@ -1,10 +1,10 @@
 //! Users' requests to the leader: submissions, queries of a job's state, and cancellations.
 
-use super::Leader;
+use super::{InputContext, Leader};
 use crate::api::{ApiResponse, UserRequest};
 use crate::effects::{Effect, RequestOrigin};
 use crate::jobs::{self, JobSpec, SubmissionError};
-use crate::types::{JobId, Timestamp, WallClock};
+use crate::types::{JobId, Timestamp};
 use crate::wire::submission_field;
 use crate::write_ahead_log::LogRecord;
 use caperstile_admission::{Decision, Submission};
@@ -23,15 +23,14 @@
     /// durable.
     pub fn handle_user_request(
         &mut self,
-        now: Timestamp,
-        wall: WallClock,
-        lease_valid: bool,
+        context: InputContext,
         origin: RequestOrigin,
         request: &UserRequest,
         out: &mut Vec<Effect>,
     ) {
+        let InputContext { now, lease_valid, .. } = context;
         let response = match request {
-            UserRequest::Submit(body) => self.submit(now, wall, lease_valid, origin, body),
+            UserRequest::Submit(body) => self.submit(context, origin, body),
             UserRequest::Get(id) => Some(self.job_status(lease_valid, id)),
             UserRequest::Cancel(id) => self.cancel(now, lease_valid, origin, id),
         };
@@ -42,14 +41,8 @@
     }
 
     /// Processes a submission. Returns `None` if the response is sent once the job is durable.
-    fn submit(
-        &mut self,
-        now: Timestamp,
-        wall: WallClock,
-        lease_valid: bool,
-        origin: RequestOrigin,
-        body: &[u8],
-    ) -> Option<ApiResponse> {
+    fn submit(&mut self, context: InputContext, origin: RequestOrigin, body: &[u8]) -> Option<ApiResponse> {
+        let InputContext { now, wall, lease_valid } = context;
         let parsed = jobs::parse_submission(body, wall);
         // The response to the submission of an accepted job is its state, whatever else the body contains: the request
         // may be a delayed duplicate.
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -1,5 +1,6 @@
 //! The leader's view of a task attempt on a machine.
 
+use crate::job_spec::JobSpec;
 use crate::types::{AttemptId, Duration, FencingToken, Resources, TaskId, Timestamp};
 use crate::wire::{ExitReason, TaskState};
 
@@ -74,31 +75,65 @@
 }
 
 impl TaskAttempt {
+    /// Creates an attempt at a task of this job whose start is requested now.
+    pub fn requested(
+        task: TaskId,
+        spec: &JobSpec,
+        predicted_duration: Option<Duration>,
+        now: Timestamp,
+    ) -> TaskAttempt {
+        let mut attempt =
+            TaskAttempt { assigned: true, ..TaskAttempt::unknown(task, AttemptPhase::StartRequested, now) };
+        attempt.set_job_details(spec, predicted_duration);
+        attempt
+    }
+
     /// Creates an attempt that a worker reports and that this leader did not start. It is stopped unless its job adopts
     /// it.
     pub(super) fn discovered(task: TaskId, phase: AttemptPhase, now: Timestamp) -> TaskAttempt {
+        // The end of an attempt is processed when its phase changes to `Exited`, so it must have another phase before.
+        let phase = if phase == AttemptPhase::Exited { AttemptPhase::StartRequested } else { phase };
         TaskAttempt {
-            task,
-            // The end of an attempt is processed when its phase changes to `Exited`, so it must have another phase
-            // before.
-            phase: if phase == AttemptPhase::Exited { AttemptPhase::StartRequested } else { phase },
             acknowledged: true,
             stop_grace_s: Some(0.0),
             start_sent: true,
+            forgettable: true,
+            running_since: (phase == AttemptPhase::Running).then_some(now),
+            ..TaskAttempt::unknown(task, phase, now)
+        }
+    }
+
+    /// An attempt of which nothing is known but its task and phase.
+    fn unknown(task: TaskId, phase: AttemptPhase, now: Timestamp) -> TaskAttempt {
+        TaskAttempt {
+            task,
+            phase,
+            acknowledged: false,
+            stop_grace_s: None,
+            start_sent: false,
             stop_sent: false,
             direct_start_token: None,
-            forgettable: true,
+            forgettable: false,
             assigned: false,
             resources: Resources::default(),
             priority: UNKNOWN_JOB_PRIORITY,
             image: String::new(),
             requested_at: now,
-            running_since: (phase == AttemptPhase::Running).then_some(now),
+            running_since: None,
             predicted_duration: None,
             in_gang: false,
         }
     }
 
+    /// Sets the properties that follow from the attempt's job, which workers do not report.
+    pub fn set_job_details(&mut self, spec: &JobSpec, predicted_duration: Option<Duration>) {
+        self.resources = spec.resources;
+        self.priority = spec.priority;
+        self.image.clone_from(&spec.image);
+        self.predicted_duration = predicted_duration;
+        self.in_gang = spec.is_gang;
+    }
+
     /// Whether a direct command that starts it, however late, may still be executed by a worker that has seen no higher
     /// fencing token than this.
     pub(super) fn may_start_late(&self, highest_seen: FencingToken) -> bool {
