--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -237,7 +237,8 @@
     machine.record_command_outcome(Timestamp::from_millis(1010), 3, true);
     assert!(machine.awaits_higher_token() && machine.heartbeat_commands().is_empty());
     machine.raise_message_token(FencingToken(6));
-    assert!(machine.awaits_higher_token() && machine.heartbeat_commands().is_empty(), "the token never falls");
+    assert!(machine.awaits_higher_token() && machine.heartbeat_commands().is_empty());
+    assert_eq!(machine.message_token, FencingToken(7), "the token never falls");
     machine.raise_message_token(FencingToken(9));
     let forget = WorkerCommand::Forget { task: "job-000001/0".into(), attempt: 1 };
     assert_eq!((machine.awaits_higher_token(), machine.heartbeat_commands()), (false, vec![forget]));
