--- a/tests/late_commands.rs
+++ b/tests/late_commands.rs
@@ -277,3 +277,24 @@
         assert_copies_start_nothing(&mut sim, &case);
     }
 }
+
+/// Holds back the direct start of a job whose image is cached, and cancels the job before the machine's next heartbeat.
+fn cancel_with_the_direct_start_held_back(sim: &mut Simulation, machine: u64, case: &str) {
+    sim.faults.commands_held.insert(machine);
+    sim.submit(JOB, &batch(1, 3.0, Some("a")));
+    wait_for(sim, case, 20_000, |s| s.was_started_directly(TASK));
+    sim.cancel(JOB);
+    wait_for(sim, case, 20_000, |s| s.jobs[JOB].last_status == "aborted");
+}
+
+/// Guards against a heartbeat response that orders `run` and `kill` of an attempt whose job is confirmed as cancelled.
+#[test]
+fn a_start_in_doubt_is_not_ordered_after_its_cancellation_was_confirmed() {
+    for seed in SEEDS {
+        let case = format!("seed {seed}");
+        let (mut sim, machine) = one_machine_per_zone(seed);
+        cancel_with_the_direct_start_held_back(&mut sim, machine, &case);
+        sim.run_until(sim.now + 30_000);
+        assert_eq!(sim.tasks.starts.get(TASK), None, "{case}: a task of a cancelled job was started");
+    }
+}
