--- a/src/api.rs
+++ b/src/api.rs
@@ -1,23 +1,30 @@
 //! Users' requests, and responses to users, workers and the load balancer.
 
 use crate::types::JobId;
-use crate::wire::{ErrorResponse, JobStatus, SubmissionResponse};
+use crate::wire::{ErrorResponse, JobStatus, SubmissionRequest, SubmissionResponse};
 use serde::Serialize;
 
 /// `Retry-After` of a 503 response unless another value is given, in seconds.
 const RETRY_AFTER_S: u16 = 1;
 
-/// A request of a user. Its contents have not been validated.
+/// A request of a user. The job ids of queries and cancellations have not been validated.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum UserRequest {
-    /// Submits a job; contains the request body as received.
-    Submit(Vec<u8>),
+    /// Submits a job.
+    Submit(SubmissionRequest),
     /// Queries the state of a job; contains the job id as received.
     Get(String),
     /// Cancels a job; contains the job id as received.
     Cancel(String),
 }
 
+impl UserRequest {
+    /// Creates the request that submits a job, from the body as received.
+    pub fn submit(body: Vec<u8>) -> UserRequest {
+        UserRequest::Submit(SubmissionRequest::read(body))
+    }
+}
+
 /// An HTTP response to a user, a worker or the load balancer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ApiResponse {
--- a/src/controller/user_requests.rs
+++ b/src/controller/user_requests.rs
@@ -5,7 +5,7 @@
 use crate::api::{ApiResponse, UserRequest};
 use crate::effects::{Effect, RequestOrigin};
 use crate::types::{Duration, Timestamp, WallClock};
-use crate::wire::SubmissionHead;
+use crate::wire::SubmissionRequest;
 use caperstile_admission::{Decision, Submission};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -127,18 +127,17 @@
         out.push(Effect::Forward(leader, id, request));
     }
 
-    /// Decides by the leader's admission table whether to forward a request. A submission that cannot be parsed is
-    /// forwarded, since the leader reports what is wrong with it.
+    /// Decides by the leader's admission table whether to forward a request. A malformed submission is forwarded, since
+    /// its job may be one that the leader has accepted.
     fn admission_decision(&mut self, now: Timestamp, request: &UserRequest) -> Decision {
-        let UserRequest::Submit(body) = request else { return Decision::Admit };
+        let UserRequest::Submit(SubmissionRequest::Valid(submission)) = request else { return Decision::Admit };
         let Some(table) = self.admission_table(now).filter(|table| !table.admits_all()) else {
             return Decision::Admit;
         };
-        let Ok(head) = serde_json::from_slice::<SubmissionHead>(body) else { return Decision::Admit };
-        let Ok(job) = head.job.parse() else { return Decision::Admit };
-        let decision = table.decide(&Submission { job, team: &head.team, class: &head.class });
+        let (team, class) = (&submission.team, &submission.class);
+        let decision = table.decide(&Submission { job: submission.job, team, class });
         if decision != Decision::Admit {
-            self.refused_demand.record_refused(&head.team, &head.class, head.tasks);
+            self.refused_demand.record_refused(team, class, submission.task_count);
         }
         decision
     }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs: parsing and feasibility checks of submissions, and the store of all jobs.
+//! Jobs: conversion and feasibility checks of submissions, and the store of all jobs.
 
 mod feasibility;
 mod job;
@@ -6,10 +6,10 @@
 mod submission;
 
 pub use crate::job_spec::JobSpec;
-pub use feasibility::{SubmissionError, capacity, check_feasible};
+pub use feasibility::{SubmissionError, can_host, capacity, check_feasible};
 pub use job::{Job, Placement};
 pub use store::{ApplyOutcome, JobStore, TerminalState};
-pub use submission::{parse_submission, submitted_job_id};
+pub use submission::parse_submission;
 
 #[cfg(test)]
 pub(crate) mod tests;
--- a/src/jobs/feasibility.rs
+++ b/src/jobs/feasibility.rs
@@ -3,7 +3,7 @@
 use super::JobSpec;
 use crate::settings::Team;
 use crate::types::Resources;
-use crate::wire::MachineType;
+use crate::wire::{MachineType, SubmissionProblem};
 
 /// `Retry-After` of submissions that are refused because the machine types are not known yet, in seconds.
 const MACHINE_TYPES_RETRY_AFTER_S: u16 = 1;
@@ -20,8 +20,8 @@
     Malformed {
         /// Name of the field in the protocol; empty if the whole body is invalid.
         field: &'static str,
-        /// Description of the problem, as text that follows the field's name.
-        problem: &'static str,
+        /// What is wrong with the field.
+        problem: SubmissionProblem,
     },
     /// The job can never run in this deployment.
     #[error("{0}")]
@@ -89,7 +89,7 @@
 }
 
 /// Whether a task of the job fits on an empty machine of this type under the job's placement constraints.
-fn can_host(machine_type: &MachineType, job: &JobSpec) -> bool {
+pub fn can_host(machine_type: &MachineType, job: &JobSpec) -> bool {
     let type_allowed = job.machine_types.as_ref().is_none_or(|types| types.contains(&machine_type.name));
     let zone_available = job.zone.as_ref().is_none_or(|zone| machine_type.zones.contains(zone));
     let one_zone_only = job.zone.is_some() || job.colocate_in_zone;
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -32,9 +32,9 @@
         ("Pieces", json!(100_001)),
         ("Pieces", json!(1.5)),
         ("Pieces", json!("2")),
-        ("Cores", json!(0)),
+        ("Cores", json!(true)),
         ("Cores", json!(-1.0)),
-        ("Cores", json!(1e300)),
+        ("Cores", json!(-1e-300)),
         ("Cards", json!(-0.5)),
         ("MemoryGb", json!("4")),
         ("Reel", json!([])),
@@ -44,7 +44,7 @@
         ("Together", json!(0)),
         ("Spread", json!(null)),
         ("Loaners", json!("yes")),
-        ("RuntimeS", json!(0)),
+        ("RuntimeS", json!(-0.001)),
         ("DueS", json!(-3)),
     ];
     for (name, value) in cases {
@@ -66,6 +66,26 @@
     ));
 }
 
+/// Amounts that cannot be stored exactly are rounded up or limited; only those that may be zero stay zero.
+#[test]
+fn extreme_amounts_are_rounded_and_limited() {
+    let with = |name: &str, value: &str| {
+        let body = submission("job-000001").to_string().replace("\"Ref\"", &format!("\"{name}\":{value},\"Ref\""));
+        let without = submission("job-000001")[name].to_string();
+        parse_submission(body.replace(&format!("\"{name}\":{without},"), "").as_bytes(), WallClock::default()).unwrap()
+    };
+    for (value, thousandths) in
+        [("0", 1), ("-0.0", 1), ("1e-400", 1), ("0.0015", 2), ("2", 2000), ("1e999", 1_000_000_000_000)]
+    {
+        assert_eq!(with("Cores", value).resources.cpus, thousandths, "{value}");
+        assert_eq!(with("RuntimeS", value).estimated_duration.as_millis(), thousandths, "{value}");
+        assert_eq!(with("DueS", value).deadline.unwrap().as_millis(), thousandths, "{value}");
+        let (digits, _) = value.split_once('e').unwrap_or((value, ""));
+        let or_zero = if digits.contains(['1', '2']) { thousandths } else { 0 };
+        assert_eq!(with("StashS", value).checkpoint_duration.as_millis(), or_zero, "{value}");
+    }
+}
+
 pub(crate) fn sample_machine_type() -> MachineType {
     serde_json::from_value(json!({"Label": "small", "Cores": 4, "MemoryGb": 16.0, "LocalGb": 70.0, "FetchGbPerS": 1.0,
         "Hourly": 0.26, "MarketPrice": 0.1, "BootS": 15, "Yards": ["a", "b"]}))
@@ -84,6 +104,7 @@
     assert_eq!(check(&|_| {}), Ok(()));
     assert!(matches!(check(&|v| v["Crew"] = json!("nobody")), Err(SubmissionError::Infeasible(_))));
     assert!(matches!(check(&|v| v["MemoryGb"] = json!(16.1)), Err(SubmissionError::Infeasible(_))));
+    assert!(matches!(check(&|v| v["Cores"] = json!(1e300)), Err(SubmissionError::Infeasible(_))));
     assert!(matches!(check(&|v| v["Builds"] = json!(["huge"])), Err(SubmissionError::Infeasible(_))));
     assert!(matches!(check(&|v| v["Yard"] = json!("c")), Err(SubmissionError::Infeasible(_))));
     let small = |v: &mut Value| {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -11,6 +11,7 @@
 //! | `ZoneHealth`, `WorkerReachability` | unreachable zones; whether this node reaches any worker |
 //! | `CommandDispatch` | direct commands to workers |
 //! | `PendingRequests` | users' requests whose response waits for a commit |
+//! | `RefusalLog` | counts of refused submissions |
 //! | [`AdmissionControl`], `DrainState` | admission control under overload; drains |
 
 mod admission;
@@ -23,6 +24,7 @@
 mod log_records;
 mod pending_requests;
 mod provisioning;
+mod refusals;
 mod scheduling;
 mod tasks;
 mod user_requests;
@@ -44,6 +46,7 @@
 use fencing::Fencing;
 use log::info;
 use pending_requests::PendingRequests;
+use refusals::RefusalLog;
 use scheduling::Planning;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use tasks::UnconfirmedFinish;
@@ -79,6 +82,7 @@
     reachability: WorkerReachability,
     command_dispatch: CommandDispatch,
     pending_requests: PendingRequests,
+    refusals: RefusalLog,
     admission: AdmissionControl,
     admission_status: admission::StatusWriter,
     drain_state: DrainState,
@@ -122,6 +126,7 @@
             reachability: WorkerReachability::default(),
             command_dispatch: CommandDispatch::default(),
             pending_requests: PendingRequests::default(),
+            refusals: RefusalLog::new(now),
             admission: AdmissionControl::new(token, now, settings.admission.clone()),
             admission_status: admission::StatusWriter::default(),
             drain_state: DrainState::new(settings, now),
--- a/src/leader/user_requests.rs
+++ b/src/leader/user_requests.rs
@@ -5,7 +5,7 @@
 use crate::effects::{Effect, RequestOrigin};
 use crate::jobs::{self, JobSpec, SubmissionError};
 use crate::types::{JobId, Timestamp};
-use crate::wire::submission_field;
+use crate::wire::{SubmissionRequest, abbreviate_name, submission_field};
 use crate::write_ahead_log::LogRecord;
 use caperstile_admission::{Decision, Submission};
 
@@ -17,6 +17,8 @@
 /// Error text of a leader without a valid lease. It rejects requests whose response may be outdated, since another node
 /// may have been elected.
 const LEASE_IN_DOUBT: &str = "leadership is in doubt";
+/// Error text for a job whose record exceeds the size limit of the state service.
+const JOB_DOES_NOT_FIT: &str = "the job does not fit into a value of the state service";
 
 impl Leader {
     /// Processes a user's request. The response is sent immediately, or once the log record that it depends on is
@@ -30,7 +32,7 @@
     ) {
         let InputContext { now, lease_valid, .. } = context;
         let response = match request {
-            UserRequest::Submit(body) => self.submit(context, origin, body),
+            UserRequest::Submit(request) => self.submit(context, origin, request),
             UserRequest::Get(id) => Some(self.job_status(lease_valid, id)),
             UserRequest::Cancel(id) => self.cancel(now, lease_valid, origin, id),
         };
@@ -41,21 +43,23 @@
     }
 
     /// Processes a submission. Returns `None` if the response is sent once the job is durable.
-    fn submit(&mut self, context: InputContext, origin: RequestOrigin, body: &[u8]) -> Option<ApiResponse> {
+    fn submit(
+        &mut self,
+        context: InputContext,
+        origin: RequestOrigin,
+        request: &SubmissionRequest,
+    ) -> Option<ApiResponse> {
         let InputContext { now, wall, lease_valid } = context;
-        let parsed = jobs::parse_submission(body, wall);
         // The response to the submission of an accepted job is its state, whatever else the body contains: the request
         // may be a delayed duplicate.
-        let id = match &parsed {
-            Ok(spec) => Some(spec.id),
-            Err(_) => jobs::submitted_job_id(body),
-        };
-        if let Some(id) = id.filter(|id| self.is_accepted(*id)) {
+        if let Some(id) = request.job().filter(|id| self.is_accepted(*id)) {
             return Some(self.job_status(lease_valid, &id.to_string()));
         }
-        let spec = match parsed {
-            Ok(spec) => spec,
-            Err(refusal) => return Some(refusal_response(&refusal)),
+        let spec = match request {
+            SubmissionRequest::Valid(submission) => JobSpec::new(submission, wall),
+            SubmissionRequest::Malformed(malformed) => {
+                return Some(self.refuse(now, request, &malformed.as_ref().into()));
+            }
         };
         if !lease_valid {
             return Some(ApiResponse::unavailable(LEASE_IN_DOUBT));
@@ -64,6 +68,9 @@
             self.pending_requests.add_submission(now, spec.id, origin);
             return None;
         }
+        if let Err(error) = self.check_feasible(&spec) {
+            return Some(self.refuse(now, request, &error));
+        }
         match self.admit(now, spec) {
             Ok(spec) => {
                 self.pending_requests.add_submission(now, spec.id, origin);
@@ -75,22 +82,27 @@
         }
     }
 
+    /// Records that a submission is refused, and returns the response to it.
+    fn refuse(&mut self, now: Timestamp, request: &SubmissionRequest, error: &SubmissionError) -> ApiResponse {
+        let response = refusal_response(error);
+        self.refusals.record(now, response.status, request, error);
+        response
+    }
+
+    fn check_feasible(&self, spec: &JobSpec) -> Result<(), SubmissionError> {
+        let teams = &self.settings.deployment.teams;
+        jobs::check_feasible(spec, teams, self.cloud.machine_types(), self.format.has_gangs())
+    }
+
     /// Whether the acceptance of a job is durable.
     fn is_accepted(&self, id: JobId) -> bool {
         self.jobs.terminal_state(id).is_some() || self.jobs.get(id).is_some_and(|job| job.durable)
     }
 
-    /// Checks whether a new job can be accepted. Returns its specification in the form in which it is stored.
-    fn admit(&mut self, now: Timestamp, mut spec: JobSpec) -> Result<JobSpec, ApiResponse> {
-        let teams = &self.settings.deployment.teams;
-        let gangs_supported = self.format.has_gangs();
-        jobs::check_feasible(&spec, teams, self.cloud.machine_types(), gangs_supported)
-            .map_err(|refusal| refusal_response(&refusal))?;
-        self.drop_unknown_machine_types(&mut spec);
-        if !self.log.fits_in_value(&LogRecord::JobAccepted(spec.clone())) {
-            let problem = "the job's names are too long to be kept";
-            return Err(refusal_response(&SubmissionError::Malformed { field: submission_field::IMAGE, problem }));
-        }
+    /// Checks whether a new feasible job can be accepted now. Returns its specification in the form in which it is
+    /// stored.
+    fn admit(&mut self, now: Timestamp, spec: JobSpec) -> Result<JobSpec, ApiResponse> {
+        let spec = self.fit_into_value(spec).ok_or_else(|| ApiResponse::unavailable(JOB_DOES_NOT_FIT))?;
         let submission = Submission { job: spec.id, team: &spec.team, class: &spec.class };
         if let Decision::Refuse { retry_after_s } = self.admission.decide(now, &submission, spec.task_count) {
             return Err(ApiResponse::too_many_submissions(retry_after_s));
@@ -102,14 +114,46 @@
         Ok(spec)
     }
 
+    /// Reduces a job to what its log record has room for: the machine types that the cloud offers, then fewer of those
+    /// that can host a task, then shorter names. Returns `None` if that is not enough.
+    fn fit_into_value(&self, mut spec: JobSpec) -> Option<JobSpec> {
+        self.drop_unknown_machine_types(&mut spec);
+        if !self.fits_into_value(&spec) {
+            self.drop_unsuitable_machine_types(&mut spec);
+        }
+        while !self.fits_into_value(&spec) && spec.machine_types.as_ref().is_some_and(|types| types.len() > 1) {
+            spec.machine_types.as_mut().and_then(Vec::pop);
+        }
+        if !self.fits_into_value(&spec) {
+            spec.image = abbreviate_name(&spec.image);
+        }
+        if !self.fits_into_value(&spec) {
+            spec.class = abbreviate_name(&spec.class);
+        }
+        self.fits_into_value(&spec).then_some(spec)
+    }
+
+    fn fits_into_value(&self, spec: &JobSpec) -> bool {
+        self.log.fits_in_value(&LogRecord::JobAccepted(spec.clone()))
+    }
+
     /// Removes machine types that the cloud does not offer: they cannot affect placement and would only take up space
     /// in the log.
     fn drop_unknown_machine_types(&self, spec: &mut JobSpec) {
-        if let Some(machine_types) = &mut spec.machine_types {
-            machine_types.sort_unstable();
-            machine_types.dedup();
-            machine_types.retain(|name| self.cloud.machine_type(name).is_some());
-        }
+        let Some(allowed) = &spec.machine_types else { return };
+        let offered = self.cloud.machine_types().unwrap_or_default().iter().map(|offered| &offered.name);
+        let mut known: Vec<String> = offered.filter(|name| allowed.contains(name)).cloned().collect();
+        known.sort_unstable();
+        known.dedup();
+        spec.machine_types = Some(known);
+    }
+
+    /// Removes machine types on which no task of the job fits.
+    fn drop_unsuitable_machine_types(&self, spec: &mut JobSpec) {
+        let Some(mut allowed) = spec.machine_types.take() else { return };
+        spec.machine_types = Some(allowed.clone());
+        allowed.retain(|name| self.cloud.machine_type(name).is_some_and(|offered| jobs::can_host(offered, spec)));
+        spec.machine_types = Some(allowed);
     }
 
     /// Whether new jobs are rejected for now, because the limit of open jobs (memory) or the limit of the log's backlog
@@ -192,7 +236,7 @@
 
 fn refusal_response(refusal: &SubmissionError) -> ApiResponse {
     match refusal {
-        SubmissionError::Malformed { field, problem } => ApiResponse::field_error(400, problem, field),
+        SubmissionError::Malformed { field, problem } => ApiResponse::field_error(400, &problem.to_string(), field),
         SubmissionError::Infeasible(reason) => ApiResponse::error(422, reason),
         SubmissionError::Unavailable { reason, retry_after } => ApiResponse::unavailable_for(reason, *retry_after),
     }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -98,8 +98,12 @@
 
     /// Encodes the frame into the bytes that are sent.
     pub fn encode(&self) -> Vec<u8> {
+        let submission;
         let (kind, id, status, retry_after, body): (FrameKind, u64, u16, u16, &[u8]) = match self {
-            Frame::Request(id, UserRequest::Submit(body)) => (FrameKind::Submit, *id, 0, 0, body),
+            Frame::Request(id, UserRequest::Submit(request)) => {
+                submission = request.encode();
+                (FrameKind::Submit, *id, 0, 0, &submission)
+            }
             Frame::Request(id, UserRequest::Get(name)) => (FrameKind::Get, *id, 0, 0, name.as_bytes()),
             Frame::Request(id, UserRequest::Cancel(name)) => (FrameKind::Cancel, *id, 0, 0, name.as_bytes()),
             Frame::LeaderAnnouncement(token, node) => (FrameKind::LeaderAnnouncement, *token, 0, 0, node.as_bytes()),
@@ -138,7 +142,7 @@
         let id = header.id.get();
         let text = |body| String::from_utf8(body).map_err(|_| FrameError);
         Ok(match header.kind {
-            kind if kind == FrameKind::Submit as u8 => Frame::Request(id, UserRequest::Submit(body)),
+            kind if kind == FrameKind::Submit as u8 => Frame::Request(id, UserRequest::submit(body)),
             kind if kind == FrameKind::Get as u8 => Frame::Request(id, UserRequest::Get(text(body)?)),
             kind if kind == FrameKind::Cancel as u8 => Frame::Request(id, UserRequest::Cancel(text(body)?)),
             kind if kind == FrameKind::LeaderAnnouncement as u8 => Frame::LeaderAnnouncement(id, text(body)?),
--- a/src/runtime/http.rs
+++ b/src/runtime/http.rs
@@ -112,7 +112,7 @@
         Err(_) => return rejection(408, "the body did not arrive"),
     };
     let request = match (method.as_str(), path.strip_prefix("/work")) {
-        ("POST", Some("")) => ApiRequest::User(UserRequest::Submit(body)),
+        ("POST", Some("")) => ApiRequest::User(UserRequest::submit(body)),
         (verb, Some(rest)) if rest.starts_with('/') => match (verb, rest[1..].strip_suffix("/withdraw")) {
             ("POST", Some(id)) => ApiRequest::User(UserRequest::Cancel(id.to_string())),
             ("GET", None) => ApiRequest::User(UserRequest::Get(rest[1..].to_string())),
--- a/src/runtime/http/tests.rs
+++ b/src/runtime/http/tests.rs
@@ -14,7 +14,9 @@
 /// Stand-in for the core: responds to a request with a description of it.
 fn fake_core(request: &ApiRequest) -> ApiResponse {
     let request = match request {
-        ApiRequest::User(UserRequest::Submit(body)) => format!("submit {}", String::from_utf8_lossy(body)),
+        ApiRequest::User(UserRequest::Submit(request)) => {
+            format!("submit {}", String::from_utf8_lossy(&request.encode()))
+        }
         ApiRequest::User(UserRequest::Get(id)) => format!("get {id}"),
         ApiRequest::User(UserRequest::Cancel(id)) => format!("cancel {id}"),
         ApiRequest::Heartbeat(heartbeat) => format!("report {}", heartbeat.machine),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,6 +5,7 @@
 
 mod cloud;
 mod store;
+mod submission;
 mod users;
 mod workers;
 
@@ -13,9 +14,11 @@
     CompareAndSwap, CompareAndSwapResponse, GrantLeaseRequest, GrantLeaseResponse, KeyPage, KeyValue,
     RevisionCondition, StoreWrite,
 };
+pub use submission::{
+    Amount, MalformedSubmission, NameList, Submission, SubmissionProblem, SubmissionRequest, abbreviate_name,
+};
 pub use users::{
-    ErrorResponse, JOB_SHAPES, JobShape, JobStatus, JobStatusResponse, PRIORITIES, SubmissionHead, SubmissionResponse,
-    submission_field,
+    ErrorResponse, JOB_SHAPES, JobShape, JobStatus, JobStatusResponse, PRIORITIES, SubmissionResponse, submission_field,
 };
 pub use workers::{
     CommandBatch, ExitReason, Heartbeat, HeartbeatResponse, LeaderRedirect, TaskState, TaskStatus, WorkerCommand,
--- a/src/wire/users.rs
+++ b/src/wire/users.rs
@@ -1,8 +1,7 @@
 //! Messages of users: submissions, job queries and their responses.
 
 use crate::types::JobId;
-use serde::{Deserialize, Serialize};
-use std::borrow::Cow;
+use serde::Serialize;
 
 /// The protocol's names of a submission's fields.
 pub mod submission_field {
@@ -76,23 +75,6 @@
 /// The protocol's names of the priorities, the highest priority first.
 pub const PRIORITIES: [&str; 4] = ["prod", "urgent", "standard", "low"];
 
-/// The fields of a submission that admission control reads.
-#[derive(Debug, Deserialize)]
-pub struct SubmissionHead<'a> {
-    /// Identifier of the job.
-    #[serde(rename = "Ref", borrow)]
-    pub job: Cow<'a, str>,
-    /// Job class.
-    #[serde(rename = "Lane", borrow)]
-    pub class: Cow<'a, str>,
-    /// Team that submits the job.
-    #[serde(rename = "Crew", borrow)]
-    pub team: Cow<'a, str>,
-    /// Number of tasks.
-    #[serde(rename = "Pieces")]
-    pub tasks: u32,
-}
-
 /// State of a job as reported to users.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum JobStatus {
--- a/tests/support/process_harness.rs
+++ b/tests/support/process_harness.rs
@@ -93,6 +93,11 @@
         self.machines.keys().copied().collect()
     }
 
+    /// Returns how often the lease of a machine has expired.
+    pub fn expired_leases(&self) -> u64 {
+        self.machines.values().map(|machine| machine.epoch - 1).sum()
+    }
+
     /// Starts or ends a machine's network partition.
     pub fn set_partitioned(&mut self, machine: u64, partitioned: bool) {
         if let Some(m) = self.machines.get_mut(&machine) {
@@ -346,6 +351,11 @@
         std::fs::write(&self.files[node], text).expect("the file is writable");
     }
 
+    /// Returns the address of a controller's HTTP API.
+    pub fn api(&self, node: usize) -> SocketAddr {
+        self.api[node]
+    }
+
     /// Starts a controller's process.
     pub fn start_node(&mut self, node: usize) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_caperstile"));
--- a/tests/support/workers.rs
+++ b/tests/support/workers.rs
@@ -129,6 +129,13 @@
         self.workers.get(&machine).map_or(0, |w| w.lease_renewed_at)
     }
 
+    /// Returns the machines that exist and that the leader does not know.
+    pub fn machines_unknown_to_leader(&self) -> Vec<u64> {
+        let leader = self.leader().and_then(|node| self.controllers.processes[node].as_ref()?.leader());
+        let known: BTreeSet<u64> = leader.iter().flat_map(|leader| leader.machines()).map(|m| m.id().0).collect();
+        self.workers.keys().filter(|id| !known.contains(id)).copied().collect()
+    }
+
     /// Returns the number of running tasks of a job.
     pub fn running_tasks(&self, id: &str) -> usize {
         let prefix = format!("{id}/");
