An attempt that is to be stopped is never started, and ends by proof

What callers saw: a job was confirmed as cancelled at 5.30 s, and the answer to the machine's next report at 6.63 s ordered run and then kill of an attempt of it. With the image cached the task starts: the leader itself started a task of a job after it had told the user "aborted".

Cause: an act to settle a doubt that is itself what must not happen. A direct start without an answer may still be carried out; run before kill made the worker remember the attempt, so that a late start had no effect.

Change: a start that is not wanted any more is never sent again. The next answer carries a higher token, so that the worker refuses the held-up command; a report that names a token above the command's and doesn't list the attempt proves that it will never run, and the task is free. The commit of a cancellation always gives such a token before the user is told. A leader that never learnt of its commit, has no other higher token and is in doubt withholds the lease of that machine instead, since another leader may have confirmed the cancellation.

The unit test of run before kill asserted what PROTOCOL forbids; the one in its place asserts that no command is sent and which messages settle it.

--- a/src/leader/heartbeats.rs
+++ b/src/leader/heartbeats.rs
@@ -3,12 +3,15 @@
 use super::{InputContext, Leader};
 use crate::api::ApiResponse;
 use crate::effects::{Effect, RequestOrigin};
-use crate::types::{MachineId, Resources, Timestamp, WallClock};
+use crate::types::{AttemptId, MachineId, Resources, Timestamp, WallClock};
 use crate::wire::{Heartbeat, HeartbeatResponse};
 use crate::workers::{self, Machine, Registration};
 use crate::write_ahead_log::{LogRecord, MachineRecord};
 use log::info;
 
+/// Error text for a heartbeat that must not renew the lease, see [`Leader::cancelled_task_may_start_late`].
+const LATE_START_POSSIBLE: &str = "a start command may still be under way";
+
 /// Why a heartbeat is rejected. The texts are part of the API.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 enum HeartbeatError {
@@ -58,7 +61,10 @@
             // Starts that are planned on this machine now are sent with the response.
             self.start_next_tasks(now, id);
         }
-        if let Some(response) = self.build_heartbeat_response(now, id, heartbeat) {
+        self.raise_token_if_awaited(id);
+        if !lease_valid && self.cancelled_task_may_start_late(id) {
+            out.push(Effect::Respond(origin, ApiResponse::unavailable(LATE_START_POSSIBLE)));
+        } else if let Some(response) = self.build_heartbeat_response(now, id, heartbeat) {
             out.push(Effect::Respond(origin, ApiResponse::json(200, &response)));
         }
         self.flush(now, out);
@@ -135,6 +141,14 @@
         }
     }
 
+    /// Whether a delayed direct command may start a task of a cancelled job on a machine. If another leader may have
+    /// confirmed the cancellation, the worker's lease must not be renewed then: in its next epoch, or with another
+    /// leader's token, the worker rejects the command.
+    fn cancelled_task_may_start_late(&self, id: MachineId) -> bool {
+        let is_cancelled = |attempt: AttemptId| self.jobs.get(attempt.task.job).is_none_or(|job| job.cancelling);
+        self.machines.get(&id).is_some_and(|machine| machine.unwanted_late_starts().any(is_cancelled))
+    }
+
     /// Returns the response to a heartbeat, which renews the worker's lease; `None` if the machine is unknown.
     fn build_heartbeat_response(
         &mut self,
@@ -142,7 +156,6 @@
         id: MachineId,
         heartbeat: &Heartbeat,
     ) -> Option<HeartbeatResponse> {
-        self.raise_token_if_awaited(id);
         let machine = self.machines.get_mut(&id)?;
         let commands = if machine.fenced {
             machine.heartbeat_commands()
--- a/src/leader/tasks.rs
+++ b/src/leader/tasks.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Records that the attempt of a task was stopped before its worker started it.
+    pub(super) fn attempt_never_started(&mut self, id: MachineId, task: TaskId) {
+        if let Some(gang) = self.jobs.get_mut(task.job).and_then(|job| job.gang.as_mut()) {
+            gang.task_ended();
+        }
+        self.remove_placement(id, task);
+    }
+
     /// Removes a task's placement on a machine, so that the task is pending again.
     pub(super) fn remove_placement(&mut self, id: MachineId, task: TaskId) {
         if let Some(job) = self.jobs.get_mut(task.job)
--- a/src/leader/worker_messages.rs
+++ b/src/leader/worker_messages.rs
@@ -91,6 +91,7 @@
                     debug!("task lost task={task} machine={id}");
                     self.attempt_lost(now, id, task);
                 }
+                MachineEvent::AttemptNeverStarted(task) => self.attempt_never_started(id, task),
                 MachineEvent::AttemptExited(exit) => self.attempt_exited(now, id, exit),
             }
         }
--- a/src/workers/attempt.rs
+++ b/src/workers/attempt.rs
@@ -1,5 +1,6 @@
 //! The leader's view of a task attempt on a machine.
 
+use super::message_position::MessagePosition;
 use crate::job_spec::JobSpec;
 use crate::types::{AttemptId, Duration, FencingToken, Resources, TaskId, Timestamp};
 use crate::wire::{ExitReason, TaskState};
@@ -54,6 +55,9 @@
     /// Fencing token of the direct command that contained its start; `None` if its start was sent in heartbeat responses
     /// only. The command, or a duplicate of it, may be executed until the worker has seen a higher token.
     pub direct_start_token: Option<FencingToken>,
+    /// Position of the latest heartbeat whose response contained its start; `None` if no response did. The response is
+    /// executed before the worker sends its next heartbeat, or never.
+    pub start_responded_to: Option<MessagePosition>,
     /// Whether the worker may forget it once it has ended: its end is durable, or the leader does not need its result.
     pub forgettable: bool,
     /// Whether its job considers the task placed on this machine under this attempt.
@@ -113,6 +117,7 @@
             start_sent: false,
             stop_sent: false,
             direct_start_token: None,
+            start_responded_to: None,
             forgettable: false,
             assigned: false,
             resources: Resources::default(),
@@ -140,6 +145,20 @@
         self.direct_start_token.is_some_and(|token| token >= highest_seen)
     }
 
+    /// Whether it is to be stopped although the worker has not reported it: its start was not sent, is on its way, or
+    /// was lost.
+    pub(super) fn is_unwanted_start(&self) -> bool {
+        !self.acknowledged && self.stop_grace_s.is_some() && self.phase != AttemptPhase::Exited
+    }
+
+    /// Whether a message that does not list the attempt proves that the worker will never start it. The message has this
+    /// fencing token as the highest that the worker has seen; `heartbeat` is its position if it is a heartbeat.
+    pub(super) fn is_never_started(&self, highest_seen: FencingToken, heartbeat: Option<MessagePosition>) -> bool {
+        let no_direct_start = !self.may_start_late(highest_seen);
+        let no_start_by_response = self.start_responded_to.is_none_or(|sent| heartbeat.is_some_and(|at| at > sent));
+        no_direct_start && no_start_by_response
+    }
+
     /// Whether it occupies resources on the machine: it has not ended, as far as is known.
     pub fn occupies_resources(&self) -> bool {
         self.phase != AttemptPhase::Exited
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -56,11 +56,12 @@
     /// executed late.
     ///
     /// A start that the worker has not acknowledged is sent again, since `Start` of an attempt that the worker already
-    /// has is a no-op. An attempt that is to be stopped before it was acknowledged gets `Start` followed by `Stop`: the
-    /// worker then has a record of the attempt, and a delayed direct `Start` has no effect because the attempt has
-    /// exited. The worker keeps that record until a response carries a higher fencing token than the direct command: a
-    /// direct command, or a duplicate of one that was responded to, may be executed after any delay while the worker has
-    /// seen no higher token, and would start an attempt that the worker has forgotten.
+    /// has is a no-op. An attempt that is to be stopped before it was acknowledged is never started: it gets no command,
+    /// and ends once a message proves that the worker will not start it, see [`TaskAttempt::is_never_started`].
+    ///
+    /// The worker keeps its record of an ended attempt until a response carries a higher fencing token than the direct
+    /// command that started it: a direct command, or a duplicate of one that was responded to, may be executed after any
+    /// delay while the worker has seen no higher token, and would start an attempt that the worker has forgotten.
     pub fn heartbeat_commands(&mut self) -> Vec<WorkerCommand> {
         let mut commands = Vec::new();
         for (id, attempt) in &mut self.attempts {
@@ -72,8 +73,12 @@
                 continue;
             }
             if !attempt.acknowledged {
-                attempt.start_sent = true;
-                commands.push(start_command(id));
+                if attempt.stop_grace_s.is_none() {
+                    attempt.start_sent = true;
+                    attempt.start_responded_to = Some(self.last_heartbeat);
+                    commands.push(start_command(id));
+                }
+                continue;
             }
             // A checkpointing attempt gets a second stop only if its grace period is 0: the checkpoint is not needed
             // any more.
@@ -99,13 +104,22 @@
         self.attempts.values().filter(is_retained).count()
     }
 
-    /// Whether the worker can be commanded to forget an attempt only in a response with a higher fencing token than that
-    /// of the messages to it. False while a direct command is in flight, which the worker would reject if the response
-    /// overtook it.
+    /// Whether the worker needs a response with a higher fencing token than that of the messages to it: to forget an
+    /// attempt, or to reject the delayed start of an attempt that is to be stopped. The former waits while a direct
+    /// command is in flight, which the worker would reject if the response overtook it.
     pub fn awaits_higher_token(&self) -> bool {
         let is_retained =
             |attempt: &TaskAttempt| attempt.is_obsolete() && !attempt.may_be_forgotten(self.message_token);
-        self.in_flight_command.is_none() && self.attempts.values().any(is_retained)
+        self.unwanted_late_starts().next().is_some()
+            || (self.in_flight_command.is_none() && self.attempts.values().any(is_retained))
+    }
+
+    /// The attempts that are to be stopped and that a delayed direct command may still start, since the worker has not
+    /// been sent a higher fencing token.
+    pub fn unwanted_late_starts(&self) -> impl Iterator<Item = AttemptId> {
+        let may_start =
+            |attempt: &TaskAttempt| attempt.is_unwanted_start() && attempt.may_start_late(self.message_token);
+        self.attempts.iter().filter(move |(_, attempt)| may_start(attempt)).map(|(id, _)| *id)
     }
 
     /// Raises the fencing token of the messages to the worker to this one.
--- a/src/workers/reconciliation.rs
+++ b/src/workers/reconciliation.rs
@@ -6,6 +6,7 @@
 use crate::leadership::TermTokens;
 use crate::types::{AttemptId, AttemptNumber, Duration, FencingToken, TaskId, Timestamp};
 use crate::wire::{ExitReason, Heartbeat, TaskStatus};
+use log::debug;
 use std::collections::btree_map::Entry;
 
 /// A change that a worker's message has revealed.
@@ -26,6 +27,8 @@
     AttemptExited(AttemptExit),
     /// The assigned attempt of this task does not exist any more, and no result was reported.
     AttemptLost(TaskId),
+    /// The assigned attempt of this task was to be stopped before its worker reported it, and will never be started.
+    AttemptNeverStarted(TaskId),
     /// The machine is fenced: one of its messages contained a fencing token of this leader.
     Fenced,
 }
@@ -78,7 +81,7 @@
             self.mark_fenced(now, events);
         }
         if self.fenced {
-            self.reconcile_attempts(now, message.tasks.as_deref().unwrap_or_default(), events);
+            self.reconcile_attempts(now, message, events);
         }
         // The tasks of a machine that is not fenced are ignored: a command of an earlier leader could still change
         // them.
@@ -106,7 +109,8 @@
     }
 
     /// Applies the worker's complete list of task attempts.
-    fn reconcile_attempts(&mut self, now: Timestamp, tasks: &[TaskStatus], events: &mut Vec<MachineEvent>) {
+    fn reconcile_attempts(&mut self, now: Timestamp, message: &Heartbeat, events: &mut Vec<MachineEvent>) {
+        let tasks = message.tasks.as_deref().unwrap_or_default();
         let mut reported = Vec::with_capacity(tasks.len());
         for status in tasks {
             let Some(task) = status.task else { continue };
@@ -116,6 +120,28 @@
         }
         reported.sort_unstable();
         self.remove_unreported_attempts(&reported, events);
+        self.remove_attempts_never_started(message, events);
+    }
+
+    /// Removes the attempts that are to be stopped, that the worker does not report, and that it will certainly not start
+    /// any more.
+    fn remove_attempts_never_started(&mut self, message: &Heartbeat, events: &mut Vec<MachineEvent>) {
+        let position = MessagePosition::from(message);
+        let heartbeat = (position == self.last_heartbeat).then_some(position);
+        let highest_seen = FencingToken(message.fencing_token);
+        let is_settled =
+            |attempt: &TaskAttempt| attempt.is_unwanted_start() && attempt.is_never_started(highest_seen, heartbeat);
+        let machine = self.record.id;
+        self.attempts.retain(|id, attempt| {
+            if !is_settled(attempt) {
+                return true;
+            }
+            debug!("attempt never started task={id} machine={machine} token={highest_seen}");
+            if attempt.assigned {
+                events.push(MachineEvent::AttemptNeverStarted(attempt.task));
+            }
+            false
+        });
     }
 
     /// Removes attempts that the worker reported before and does not report any more. Usually it was commanded to
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -42,6 +42,7 @@
         start_sent: direct_start_token.is_some(),
         stop_sent: false,
         direct_start_token,
+        start_responded_to: None,
         forgettable: true,
         assigned: true,
         resources: Resources { cpus: 1000, gpus: 0, memory: 1000 },
@@ -178,24 +179,35 @@
     );
 }
 
+/// Guards against starting a task only to stop it, and against an attempt in doubt that is given up without a proof.
 #[test]
-fn stop_of_an_unacknowledged_start_sends_start_and_stop_and_the_attempt_is_kept() {
+fn stop_of_an_unacknowledged_start_sends_no_start_and_ends_once_the_worker_cannot_start_it() {
+    let never_started = |machine: &mut Machine, heartbeat: &Heartbeat, is_response: bool| {
+        let mut tokens = TermTokens::new(FencingToken(7));
+        tokens.add_confirmed_revision(Revision(9));
+        let mut events = Vec::new();
+        if !is_response {
+            assert!(machine.accept_heartbeat(Timestamp::from_millis(1), heartbeat, true));
+        }
+        machine.apply_message(Timestamp::from_millis(1), heartbeat, tokens, &mut events);
+        events == [MachineEvent::AttemptNeverStarted("job-000001/0".parse().unwrap())]
+    };
     let mut machine = machine();
+    machine.fenced = true;
     machine.attempts.insert(first_attempt(), attempt_with_requested_start("job-000001/0", Some(FencingToken(7))));
+    assert!(!machine.awaits_higher_token());
+    let start = WorkerCommand::Start { task: "job-000001/0".into(), attempt: 1 };
+    assert!(machine.accept_heartbeat(Timestamp::ZERO, &heartbeat(1, 1, 7, json!([])), true));
+    assert_eq!(machine.heartbeat_commands(), [start], "a wanted start is repeated");
     machine.request_stop(first_attempt(), 0.0);
-    let (task, attempt) = ("job-000001/0".to_string(), 1);
-    let stop = WorkerCommand::Stop { task: task.clone(), attempt, grace_s: 0.0 };
-    assert_eq!(machine.heartbeat_commands(), [WorkerCommand::Start { task, attempt }, stop]);
-    assert!(machine.direct_commands().is_empty(), "only heartbeat responses are never executed late");
-    machine.fenced = true;
-    let exited = json!([{"Piece": "job-000001/0", "Try": 1, "Status": "exited", "Cause": "halted"}]);
-    machine.apply_message(
-        Timestamp::from_millis(1),
-        &heartbeat(1, 1, 7, exited),
-        TermTokens::new(FencingToken(7)),
-        &mut Vec::new(),
-    );
-    assert!(machine.heartbeat_commands().is_empty(), "a delayed duplicate of the start command would start it again");
+    assert!(machine.heartbeat_commands().is_empty() && machine.direct_commands().is_empty());
+    assert!(machine.awaits_higher_token(), "the direct command may still be executed");
+    machine.raise_message_token(FencingToken(9));
+    assert!(!machine.awaits_higher_token());
+    assert!(!never_started(&mut machine, &heartbeat(1, 2, 9, json!([])), true), "the response may be on its way");
+    assert!(!never_started(&mut machine, &heartbeat(1, 3, 7, json!([])), false), "the direct command may come");
+    assert!(never_started(&mut machine, &heartbeat(1, 4, 9, json!([])), false));
+    assert!(machine.attempts.is_empty());
 }
 
 /// Guards against slow cancellation: a task that was checkpointing when its job was cancelled got no second stop and
--- a/tests/late_commands.rs
+++ b/tests/late_commands.rs
@@ -278,13 +278,29 @@
     }
 }
 
-/// Holds back the direct start of a job whose image is cached, and cancels the job before the machine's next heartbeat.
-fn cancel_with_the_direct_start_held_back(sim: &mut Simulation, machine: u64, case: &str) {
+/// Submits a job whose image is cached, and holds back its direct start.
+fn hold_back_direct_start(sim: &mut Simulation, machine: u64, case: &str) {
     sim.faults.commands_held.insert(machine);
     sim.submit(JOB, &batch(1, 3.0, Some("a")));
     wait_for(sim, case, 20_000, |s| s.was_started_directly(TASK));
+}
+
+fn wait_for_cancellation(sim: &mut Simulation, case: &str) {
     sim.cancel(JOB);
-    wait_for(sim, case, 20_000, |s| s.jobs[JOB].last_status == "aborted");
+    wait_for(sim, case, 30_000, |s| s.jobs[JOB].last_status == "aborted");
+}
+
+/// Checks that no task of the job starts, neither by an order of a controller nor by commands that were held back until
+/// long after the cancellation.
+fn assert_cancelled_job_never_starts(sim: &mut Simulation, case: &str) {
+    sim.run_until(sim.now + sim.site.cancel_ms + 20_000);
+    let starts = |s: &Simulation| s.tasks.starts.keys().filter(|task| task.starts_with(JOB)).count();
+    assert_eq!(starts(sim), 0, "{case}: a controller ordered the start of a cancelled job");
+    let machines: Vec<u64> = sim.workers.keys().copied().collect();
+    machines.into_iter().for_each(|machine| sim.heal_machine(machine));
+    sim.run_until(sim.now + 10_000);
+    assert_eq!(starts(sim), 0, "{case}: a held-up command started a cancelled job");
+    assert!(sim.violations.is_empty(), "{case}: {:?}", sim.violations);
 }
 
 /// Guards against a heartbeat response that orders `run` and `kill` of an attempt whose job is confirmed as cancelled.
@@ -293,8 +309,65 @@
     for seed in SEEDS {
         let case = format!("seed {seed}");
         let (mut sim, machine) = one_machine_per_zone(seed);
-        cancel_with_the_direct_start_held_back(&mut sim, machine, &case);
-        sim.run_until(sim.now + 30_000);
-        assert_eq!(sim.tasks.starts.get(TASK), None, "{case}: a task of a cancelled job was started");
+        hold_back_direct_start(&mut sim, machine, &case);
+        wait_for_cancellation(&mut sim, &case);
+        assert_cancelled_job_never_starts(&mut sim, &case);
+    }
+}
+
+/// Guards against the same when the leader ends, or the state service is down, right after the confirmation.
+#[test]
+fn a_start_in_doubt_is_not_ordered_by_the_next_leader_or_in_an_outage() {
+    for (seed, outage) in SEEDS.flat_map(|seed| [(seed, true), (seed, false)]) {
+        let case = format!("seed {seed}, outage {outage}");
+        let (mut sim, machine) = one_machine_per_zone(seed);
+        hold_back_direct_start(&mut sim, machine, &case);
+        wait_for_cancellation(&mut sim, &case);
+        if outage {
+            sim.store.down = true;
+        } else {
+            let leader = sim.leader().expect("a leader");
+            sim.restart_controller(leader, 300);
+        }
+        assert_cancelled_job_never_starts(&mut sim, &case);
+    }
+}
+
+/// Guards against an earlier leader that goes on without having learnt that its commit of the cancellation was executed.
+#[test]
+fn a_start_in_doubt_is_not_ordered_by_a_leader_that_another_one_has_replaced() {
+    for seed in SEEDS {
+        let case = format!("seed {seed}");
+        let (mut sim, machine) = one_machine_per_zone(seed);
+        hold_back_direct_start(&mut sim, machine, &case);
+        sim.faults.writes_without_response = (100, true);
+        sim.cancel(JOB);
+        sim.run_until(sim.now + 400);
+        let leader = sim.leader().expect("a leader");
+        sim.isolate_controller(leader);
+        sim.faults.writes_without_response = (0, false);
+        wait_for(&mut sim, &case, 30_000, |s| s.jobs[JOB].last_status == "aborted");
+        assert_cancelled_job_never_starts(&mut sim, &case);
+    }
+}
+
+/// Guards against the same for a gang, and for a task that was to be moved when its job was cancelled.
+#[test]
+fn starts_in_doubt_of_gangs_and_moved_tasks_are_not_ordered_after_the_cancellation() {
+    for (seed, gang) in SEEDS.flat_map(|seed| [(seed, true), (seed, false)]) {
+        let case = format!("seed {seed}, gang {gang}");
+        let (mut sim, machine) = one_machine_per_zone(seed);
+        if gang {
+            sim.faults.commands_held.insert(machine);
+            let fields = [("Shape", json!("group")), ("Pieces", json!(2)), ("Together", json!(true))];
+            sim.submit(JOB, &[batch(2, 1.0, Some("a")), fields.to_vec()].concat());
+            wait_for(&mut sim, &case, 30_000, |s| s.was_started_directly(TASK));
+        } else {
+            hold_back_direct_start(&mut sim, machine, &case);
+            sim.submit(URGENT_SERVICE, &service("a", 3.0));
+            sim.run_until(sim.now + 100);
+        }
+        wait_for_cancellation(&mut sim, &case);
+        assert_cancelled_job_never_starts(&mut sim, &case);
     }
 }
