Log why a start or stop was requested, and under which token

The records of the incident could not tell who acted under which token and why. A start is logged with the token and whether this leader accepted the job, a stop with its reason (cancelled, abandoned, preempted, machine reclaimed, evicted, consolidated, gang stopped), the end of a job with the token, and a lease that is not renewed.

--- a/src/leader/drains.rs
+++ b/src/leader/drains.rs
@@ -13,7 +13,7 @@
 use crate::settings::Settings;
 use crate::store::ServiceResponse;
 use crate::types::{MachineId, Timestamp, WallClock};
-use crate::workers::{DrainReason, Machine};
+use crate::workers::{DrainReason, Machine, StopReason};
 use caperstile_disruption::record_store::{OutgoingRequest, StoreResponse};
 use caperstile_disruption::{self as disruption, Coordinator, Eviction, Policy, StoreLimits};
 use fleet_view::{FleetView, pool_of};
@@ -147,7 +147,7 @@
                 let checkpoint_s = job.spec.checkpoint_duration.as_secs_f64();
                 let grace_s = if job.spec.is_service { REPLICA_GRACE_S } else { checkpoint_s };
                 info!("task evicted task={} attempt={} machine={machine}", attempt.task, attempt.attempt);
-                self.stop_attempt(machine, attempt, grace_s);
+                self.stop_attempt(machine, attempt, grace_s, StopReason::Evicted);
             }
             Eviction::Gang(job) => {
                 let Some(grace) = self.jobs.get(job).map(|job| job.spec.checkpoint_duration) else { return };
--- a/src/leader/heartbeats.rs
+++ b/src/leader/heartbeats.rs
@@ -9,7 +9,7 @@
 use crate::write_ahead_log::{LogRecord, MachineRecord};
 use log::info;
 
-/// Error text for a heartbeat that must not renew the lease, see [`Leader::cancelled_task_may_start_late`].
+/// Error text for a heartbeat that must not renew the lease, see `Leader::cancelled_task_may_start_late`.
 const LATE_START_POSSIBLE: &str = "a start command may still be under way";
 
 /// Why a heartbeat is rejected. The texts are part of the API.
@@ -63,6 +63,7 @@
         }
         self.raise_token_if_awaited(id);
         if !lease_valid && self.cancelled_task_may_start_late(id) {
+            info!("lease not renewed machine={id} reason=\"{LATE_START_POSSIBLE}\" token={}", self.token);
             out.push(Effect::Respond(origin, ApiResponse::unavailable(LATE_START_POSSIBLE)));
         } else if let Some(response) = self.build_heartbeat_response(now, id, heartbeat) {
             out.push(Effect::Respond(origin, ApiResponse::json(200, &response)));
--- a/src/leader/log_records.rs
+++ b/src/leader/log_records.rs
@@ -178,7 +178,8 @@
     /// Handles the durable end of a job: stops its remaining attempts and responds to pending cancellations.
     fn job_ended(&mut self, now: Timestamp, id: JobId, placements: &[Placement], out: &mut Vec<Effect>) {
         let done = matches!(self.jobs.terminal_state(id), Some(TerminalState::Done(_)));
-        info!("job ended job={id} state={}", if done { "done" } else { "cancelled" });
+        let state = if done { "done" } else { "cancelled" };
+        info!("job ended job={id} state={state} token={}", self.token);
         self.planning.plans.unplan_job(id);
         for placement in placements {
             self.abandon_attempt(*placement);
--- a/src/leader/provisioning/scale_in.rs
+++ b/src/leader/provisioning/scale_in.rs
@@ -3,7 +3,7 @@
 use crate::leader::Leader;
 use crate::leader::drains::SpareCapacityPlanner;
 use crate::types::{Duration, MachineId, Timestamp, WallClock};
-use crate::workers::{DrainReason, Machine, TaskAttempt};
+use crate::workers::{DrainReason, Machine, StopReason, TaskAttempt};
 use caperstile_disruption::Coordinator;
 use log::info;
 
@@ -99,7 +99,7 @@
         info!("consolidation started machine={id} services={}", running.len());
         machine.draining = Some(DrainReason::Consolidated);
         for attempt in running {
-            self.stop_attempt(id, attempt, STOP_GRACE_S);
+            self.stop_attempt(id, attempt, STOP_GRACE_S, StopReason::Consolidated);
         }
         self.planning.plans.remove_machine(id);
     }
--- a/src/leader/scheduling.rs
+++ b/src/leader/scheduling.rs
@@ -11,7 +11,7 @@
     QueueEntry, QueuePriority, ResourceRelease, ZoneAllowance,
 };
 use crate::types::{AttemptId, Duration, JobId, MachineId, Resources, TaskId, Timestamp, WallClock};
-use crate::workers::{Machine, TaskAttempt};
+use crate::workers::{Machine, StopReason, TaskAttempt};
 use log::{debug, info};
 use quotas::TeamUsage;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/src/leader/scheduling/gangs.rs
+++ b/src/leader/scheduling/gangs.rs
@@ -252,7 +252,8 @@
             let machine = self.machines.get(&placement.machine);
             let attempt = machine.and_then(|machine| machine.attempts.get(&placement.attempt));
             if attempt.is_some_and(|attempt| attempt.stop_grace_s.is_none()) {
-                self.stop_attempt(placement.machine, placement.attempt, grace.as_secs_f64());
+                let grace_s = grace.as_secs_f64();
+                self.stop_attempt(placement.machine, placement.attempt, grace_s, StopReason::GangStopped);
             }
         }
     }
--- a/src/leader/scheduling/preemption.rs
+++ b/src/leader/scheduling/preemption.rs
@@ -129,7 +129,7 @@
     pub(super) fn preempt(&mut self, preemptions: Vec<Preemption>) {
         for Preemption { machine, attempt, preempting_job } in preemptions {
             info!("task preempted task={} machine={machine} for_job={preempting_job}", attempt.task);
-            self.stop_attempt(machine, attempt, 0.0);
+            self.stop_attempt(machine, attempt, 0.0, StopReason::Preempted);
         }
     }
 
@@ -158,8 +158,12 @@
 
     /// Requests that an attempt stops, with `grace_s` seconds to save a checkpoint, and schedules a command to its
     /// machine.
-    pub(crate) fn stop_attempt(&mut self, machine: MachineId, attempt: AttemptId, grace_s: f64) {
+    pub(crate) fn stop_attempt(&mut self, machine: MachineId, attempt: AttemptId, grace_s: f64, reason: StopReason) {
         if self.machines.get_mut(&machine).is_some_and(|machine| machine.request_stop(attempt, grace_s)) {
+            let token = self.token;
+            debug!(
+                "task stop requested task={attempt} machine={machine} grace_s={grace_s} reason=\"{reason}\" token={token}"
+            );
             self.command_dispatch.enqueue(machine);
             self.planning.changed_machines.insert(machine);
         }
--- a/src/leader/scheduling/reclaims.rs
+++ b/src/leader/scheduling/reclaims.rs
@@ -32,7 +32,8 @@
             .collect();
         let (gangs, tasks): (Vec<ReclaimedTask>, Vec<ReclaimedTask>) = due.into_iter().partition(|task| task.is_gang);
         for task in tasks {
-            self.stop_attempt(task.machine, task.attempt, task.grace.as_secs_f64());
+            let grace_s = task.grace.as_secs_f64();
+            self.stop_attempt(task.machine, task.attempt, grace_s, StopReason::MachineReclaimed);
         }
         for task in gangs {
             self.stop_gang(task.attempt.task.job, task.grace);
--- a/src/leader/scheduling/starts.rs
+++ b/src/leader/scheduling/starts.rs
@@ -162,7 +162,11 @@
         job.placements.insert(attempt.task.index, jobs::Placement { machine: id, attempt, running: false });
         let predicted_s = predicted_duration.map_or(f64::INFINITY, Duration::as_secs_f64);
         let AttemptId { task, attempt: number } = attempt;
-        debug!("task start requested task={task} attempt={number} machine={id} predicted_s={predicted_s}");
+        let (token, accepted_here) = (self.token, job.accepted_by_this_leader);
+        debug!(
+            "task start requested task={task} attempt={number} machine={id} predicted_s={predicted_s} token={token} \
+            accepted_by_this_leader={accepted_here}"
+        );
         self.admission.record_start(&TeamClassPair::new(&job.spec.team, &job.spec.class));
         usage.add(&job.spec.team, &job.spec.resources);
         machine.idle_since = None;
--- a/src/leader/tasks.rs
+++ b/src/leader/tasks.rs
@@ -9,6 +9,7 @@
 use crate::gang::GangPhase;
 use crate::jobs::Placement;
 use crate::types::{AttemptId, AttemptNumber, MachineId, TaskId, Timestamp};
+use crate::workers::StopReason;
 use log::debug;
 
 /// Number of low bits of an attempt number that hold the leader's counter of attempts; the bits above hold its fencing
@@ -29,7 +30,7 @@
 
     /// Stops an attempt whose placement has been removed from its job.
     pub(super) fn abandon_attempt(&mut self, placement: Placement) {
-        self.stop_attempt(placement.machine, placement.attempt, 0.0);
+        self.stop_attempt(placement.machine, placement.attempt, 0.0, StopReason::Abandoned);
         let machine = self.machines.get_mut(&placement.machine);
         if let Some(attempt) = machine.and_then(|machine| machine.attempts.get_mut(&placement.attempt)) {
             attempt.assigned = false;
--- a/src/leader/user_requests.rs
+++ b/src/leader/user_requests.rs
@@ -6,6 +6,7 @@
 use crate::jobs::{self, JobSpec, SubmissionError};
 use crate::types::{JobId, Timestamp};
 use crate::wire::{SubmissionRequest, abbreviate_name, submission_field};
+use crate::workers::StopReason;
 use crate::write_ahead_log::LogRecord;
 use caperstile_admission::{Decision, Submission};
 
@@ -229,7 +230,7 @@
         self.planning.plans.unplan_job(id);
         self.log.append(LogRecord::JobCancelled(id));
         for placement in placements {
-            self.stop_attempt(placement.machine, placement.attempt, 0.0);
+            self.stop_attempt(placement.machine, placement.attempt, 0.0, StopReason::Cancelled);
         }
     }
 }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -13,6 +13,7 @@
 //! | `reconciliation` | updates the state of a machine from its worker's messages |
 //! | `commands` | builds commands and tracks direct commands |
 //! | `drain_reason` | reasons for which a machine gets no new tasks |
+//! | `stop_reason` | reasons for which an attempt is stopped |
 
 mod attempt;
 mod commands;
@@ -20,6 +21,7 @@
 mod machine;
 mod message_position;
 mod reconciliation;
+mod stop_reason;
 
 pub use attempt::{AttemptExit, AttemptPhase, TaskAttempt};
 pub use commands::stop_ended_jobs;
@@ -27,6 +29,7 @@
 pub use machine::{InFlightCommand, Machine, Registration};
 pub use message_position::MessagePosition;
 pub use reconciliation::MachineEvent;
+pub use stop_reason::StopReason;
 
 #[cfg(test)]
 mod tests;
--- a/src/workers/commands.rs
+++ b/src/workers/commands.rs
@@ -57,7 +57,7 @@
     ///
     /// A start that the worker has not acknowledged is sent again, since `Start` of an attempt that the worker already
     /// has is a no-op. An attempt that is to be stopped before it was acknowledged is never started: it gets no command,
-    /// and ends once a message proves that the worker will not start it, see [`TaskAttempt::is_never_started`].
+    /// and ends once a message proves that the worker will not start it, see `TaskAttempt::is_never_started`.
     ///
     /// The worker keeps its record of an ended attempt until a response carries a higher fencing token than the direct
     /// command that started it: a direct command, or a duplicate of one that was responded to, may be executed after any
