Log at debug what keeps waiting jobs from the machines that they allow

The log has 'machine quarantined' and repeated 'machine demand', but nothing tells a closed machine from one that is unreachable, reserved as headroom, avoided by the job, or open and passed over by planning. At debug a leader now logs every ten seconds, for up to 20 jobs that wait, how many of the allowed machines could take a task and how many could not for which reason.

Nothing else changes; at other log levels nothing is computed.

--- a/src/leader/provisioning.rs
+++ b/src/leader/provisioning.rs
@@ -6,6 +6,7 @@
 mod objectives;
 mod scale_in;
 mod solver;
+mod waiting_jobs;
 mod zones;
 
 use crate::cloud::{InstancePool, MAX_INSTANCES_PER_REQUEST};
@@ -38,6 +39,7 @@
         if !self.may_scale_out(now) {
             return;
         }
+        self.log_waiting_jobs(now);
         let demands = self.machine_demands(now);
         if demands.is_empty() {
             return;
--- a/src/leader/scheduling.rs
+++ b/src/leader/scheduling.rs
@@ -59,6 +59,8 @@
     pub(super) last_round_at: Timestamp,
     /// When the last round of provisioning began.
     pub(super) last_provisioning_at: Timestamp,
+    /// When the waiting jobs were last logged.
+    pub(super) waiting_jobs_logged_at: Timestamp,
     /// Intervals between rounds and the evaluation budget of a round.
     pub(super) pacing: Pacing,
 }
@@ -77,6 +79,7 @@
             replan_needed: true,
             last_round_at: Timestamp::ZERO,
             last_provisioning_at: Timestamp::ZERO,
+            waiting_jobs_logged_at: Timestamp::ZERO,
             pacing: Pacing::default(),
         }
     }
--- a/src/leader/scheduling/starts.rs
+++ b/src/leader/scheduling/starts.rs
@@ -33,7 +33,7 @@
 
     /// Whether a task of this job fits into the machine's free resources without taking headroom, or the job may use
     /// headroom.
-    fn respects_headroom(&self, job: &Job, machine: &Machine) -> bool {
+    pub(in crate::leader) fn respects_headroom(&self, job: &Job, machine: &Machine) -> bool {
         let Some(headroom) = self.planning.headroom.get(&machine.id()) else { return true };
         let mut usable = machine.free_resources();
         usable.saturating_sub(headroom);
