A machine on which tasks failed is tried again: its quarantine ends

Cause: the failure of a task does not tell whether the machine or the job is at fault. Failures of two jobs, or one of a job that has finished a task, closed the machine (DrainReason::FailingTasks), and nothing ended that. The only evidence that can refute the suspicion, a task that succeeds, can't come about on a machine that gets none. The machine is returned once it is empty, which a service prevents.

So the job was not held back by itself, by a place in a queue, by headroom or by the machine's reach.

Change: a quarantine ends with a trial, after 15 s, then 30 s, then always 40 s. In a trial the machine gets one task, or the tasks of one gang. A task of the trial that finishes, or that its worker reports running after ten seconds, ends the suspicion; any failure closes the machine again. What closes a machine is unchanged, so a faulty one is closed as soon as before; the success of a task from before the trial does not count. For five seconds a trial is left to jobs that have not failed themselves. Headroom, consolidation and drains do not count on a machine on trial, and one that is empty is returned as before.

--- a/src/leader/drains/spare_capacity.rs
+++ b/src/leader/drains/spare_capacity.rs
@@ -169,13 +169,14 @@
     capacity.machine.is_some_and(|machine| machine.images.contains(&replica.image))
 }
 
-/// Returns the reachable on-demand machines that accept tasks and have free CPUs.
+/// Returns the reachable on-demand machines that accept tasks, are not on trial and have free CPUs.
 fn running_machines<'a>(leader: &'a Leader, excluded: &BTreeSet<MachineId>) -> Vec<MachineCapacity<'a>> {
     let overdue_after = leader.settings.deployment.workers.heartbeat_overdue_after();
     // Replicas cannot be moved to an unreachable machine, such as those of an isolated zone.
     let is_eligible = |machine: &&Machine| {
         !excluded.contains(&machine.id())
             && machine.accepts_tasks()
+            && !machine.quarantine.is_on_trial()
             && !machine.record.spot
             && machine.reached_within(leader.planning.last_round_at, overdue_after)
     };
@@ -204,8 +205,7 @@
     };
     let pending = leader.cloud.pending().filter(|(_, instance)| !instance.spot);
     let pending = pending.filter_map(|(id, instance)| capacity(*id, &instance.machine_type, &instance.zone));
-    let is_booting =
-        |machine: &&Machine| !machine.record.spot && !machine.accepts_tasks() && machine.draining.is_none();
+    let is_booting = |machine: &&Machine| !machine.record.spot && !machine.is_ready() && machine.draining.is_none();
     let booting = leader.machines.values().filter(is_booting);
     let booting =
         booting.filter_map(|machine| capacity(machine.id(), &machine.record.machine_type, &machine.record.zone));
--- a/src/leader/failure_detection/health_check.rs
+++ b/src/leader/failure_detection/health_check.rs
@@ -111,12 +111,13 @@
     }
 }
 
-/// Why a machine that is being drained or reclaimed can be released now; `None` if it is neither or not empty. It is
-/// unknown what runs on an unfenced machine, so such a machine never counts as empty.
+/// Why a machine that is being drained or reclaimed, or is suspected to be faulty, can be released now; `None` if it is
+/// neither or not empty. It is unknown what runs on an unfenced machine, so such a machine never counts as empty.
 fn drained_release_reason(machine: &Machine) -> Option<DrainReason> {
-    let is_leaving = machine.draining.is_some() || machine.reclaim_at.is_some();
-    let is_empty = is_leaving && machine.fenced && !machine.is_occupied();
-    is_empty.then(|| machine.draining.unwrap_or(DrainReason::Reclaimed))
+    let reclaimed = machine.reclaim_at.map(|_| DrainReason::Reclaimed);
+    let on_trial = machine.quarantine.is_on_trial().then_some(DrainReason::FailingTasks);
+    let reason = machine.draining.or(reclaimed).or(on_trial)?;
+    (machine.fenced && !machine.is_occupied()).then_some(reason)
 }
 
 /// A machine that may be probed with a direct command. Candidates are ordered by the time of their last probe, oldest
@@ -164,6 +165,10 @@
     lost_attempts: Vec<(MachineId, Vec<MachineEvent>)>,
     /// Machines to release, each with the reason.
     releases: Vec<(MachineId, DrainReason)>,
+    /// Machines whose quarantine is over.
+    due_trials: Vec<MachineId>,
+    /// Machines that have passed their trial.
+    passed_trials: Vec<MachineId>,
     /// Probes that determine whether machines respond.
     probes: Probes,
 }
@@ -187,7 +192,20 @@
             }
             self.releases.extend(check.unreachable_release_reason(machine).map(|reason| (id, reason)));
         }
-        self.releases.extend(drained_release_reason(machine).map(|reason| (id, reason)));
+        let release_reason = drained_release_reason(machine);
+        self.releases.extend(release_reason.map(|reason| (id, reason)));
+        if release_reason.is_none() {
+            self.inspect_quarantine(check.now, machine);
+        }
+    }
+
+    /// Adds the machine if its trial is due or has been passed.
+    fn inspect_quarantine(&mut self, now: Timestamp, machine: &mut Machine) {
+        if machine.is_trial_due(now) {
+            self.due_trials.push(machine.id());
+        } else if machine.end_passed_trial() {
+            self.passed_trials.push(machine.id());
+        }
     }
 }
 
@@ -230,9 +248,29 @@
             }
             self.cloud.release_overdue(now);
         }
+        self.begin_trials(now, findings.due_trials);
+        findings.passed_trials.into_iter().for_each(|id| self.note_passed_trial(id));
         self.send_probes(now, findings.probes, out);
     }
 
+    /// Begins the trials of machines whose quarantine is over, except of those that are being released.
+    fn begin_trials(&mut self, now: Timestamp, due: Vec<MachineId>) {
+        for id in due.into_iter().filter(|id| !self.cloud.is_releasing(*id)) {
+            let Some(machine) = self.machines.get_mut(&id) else { continue };
+            machine.begin_trial(now);
+            info!("machine trial begun machine={id}");
+            self.planning.changed_machines.insert(id);
+            self.planning.replan_needed = true;
+        }
+    }
+
+    /// Plans further tasks for a machine that has passed its trial.
+    pub(in crate::leader) fn note_passed_trial(&mut self, id: MachineId) {
+        info!("machine trial passed machine={id}");
+        self.planning.changed_machines.insert(id);
+        self.planning.replan_needed = true;
+    }
+
     /// Marks a machine as draining, discards its plan and requests its release from the cloud.
     fn release_machine(&mut self, id: MachineId, reason: DrainReason) {
         if let Some(machine) = self.machines.get_mut(&id) {
--- a/src/leader/provisioning/headroom.rs
+++ b/src/leader/provisioning/headroom.rs
@@ -87,15 +87,18 @@
         self.planning.headroom = reserved;
     }
 
-    /// Returns the free capacity of all machines, the fullest machine first, so that headroom concentrates on few
-    /// machines and others can become idle.
+    /// Returns the free capacity of all machines that are not on trial, the fullest machine first, so that headroom
+    /// concentrates on few machines and others can become idle.
     fn free_capacities(&self) -> Vec<FreeCapacity> {
         let capacity_of = |machine: &PlannedMachine| FreeCapacity {
             machine: machine.id,
             free: machine.free,
             preemptible: machine.preemptible[0],
         };
-        let mut capacities: Vec<FreeCapacity> = self.planning.plans.machines().map(capacity_of).collect();
+        let is_on_trial =
+            |id: MachineId| self.machines.get(&id).is_some_and(|machine| machine.quarantine.is_on_trial());
+        let machines = self.planning.plans.machines().filter(|machine| !is_on_trial(machine.id));
+        let mut capacities: Vec<FreeCapacity> = machines.map(capacity_of).collect();
         capacities.sort_by_key(|capacity| (capacity.free.cpus, capacity.machine));
         capacities
     }
--- a/src/leader/provisioning/scale_in.rs
+++ b/src/leader/provisioning/scale_in.rs
@@ -64,8 +64,8 @@
         best.map(|(_, id)| id)
     }
 
-    /// Returns the replicas on a reachable on-demand machine if it runs nothing else, has no queued tasks, has used up
-    /// its minimum charge and all replicas may be moved. Returns `None` otherwise.
+    /// Returns the replicas on a reachable on-demand machine if it is not on trial, runs nothing else, has no queued
+    /// tasks, has used up its minimum charge and all replicas may be moved. Returns `None` otherwise.
     fn movable_services<'a>(
         &self,
         now: Timestamp,
@@ -74,6 +74,7 @@
     ) -> Option<Vec<&'a TaskAttempt>> {
         let overdue_after = self.settings.deployment.workers.heartbeat_overdue_after();
         let is_eligible = machine.accepts_tasks()
+            && !machine.quarantine.is_on_trial()
             && !machine.record.spot
             && machine.reached_within(now, overdue_after)
             && now.since(machine.known_since) >= MINIMUM_CHARGE
--- a/src/leader/scheduling/machine_view.rs
+++ b/src/leader/scheduling/machine_view.rs
@@ -2,9 +2,13 @@
 
 use super::*;
 use crate::wire::MachineType;
+use crate::workers::TRIAL_RUN_TIME;
 
 /// Minimum delay that the plan assumes for starts on a machine that does not accept tasks at the moment.
 const NOT_ACCEPTING_START_DELAY: Duration = Duration::from_millis(500);
+/// Minimum delay that the plan assumes for starts on a machine on trial, so that only those tasks are queued behind the
+/// trial that would wait for longer elsewhere.
+const TRIAL_START_DELAY: Duration = TRIAL_RUN_TIME;
 /// Minimum delay that the plan assumes for starts on a booting machine, even if it should have been up already.
 const BOOTING_START_DELAY: Duration = Duration::from_secs(2);
 /// Ratio of the boot time that the plan assumes to the nominal boot time of the machine type; boots usually take
@@ -43,6 +47,17 @@
     PlacementBias { for_services: price_per_cpu << 32 | free.cpus, for_other_tasks: u64::from(!spot) << 32 | free.cpus }
 }
 
+/// Minimum delay that the plan assumes for starts on a registered machine.
+fn min_start_delay(machine: &Machine) -> Duration {
+    if machine.quarantine.is_on_trial() {
+        TRIAL_START_DELAY
+    } else if machine.accepts_tasks() {
+        Duration::ZERO
+    } else {
+        NOT_ACCEPTING_START_DELAY
+    }
+}
+
 /// Predicted releases and preemptible resources of a machine's running tasks.
 #[derive(Default)]
 struct RunningTasks {
@@ -105,7 +120,7 @@
             machine_type: self.planning.names.intern_machine_type(&machine.record.machine_type),
             spot: machine.record.spot,
             ready_at: now,
-            min_start_delay: if machine.accepts_tasks() { Duration::ZERO } else { NOT_ACCEPTING_START_DELAY },
+            min_start_delay: min_start_delay(machine),
             bias,
             free,
             preemptible,
--- a/src/leader/scheduling/starts.rs
+++ b/src/leader/scheduling/starts.rs
@@ -25,6 +25,7 @@
     pub(super) fn may_start(&self, job: &Job, machine: &Machine, now: Timestamp, usage: &TeamUsage) -> bool {
         let is_startable = job.gang.is_none() && self.is_startable(job, now);
         machine.accepts_tasks()
+            && machine.quarantine.allows_trial_of(job, now)
             && is_startable
             && self.within_quota(usage, job, 1)
             && self.fits_on(job, machine)
--- a/src/leader/tasks/exits.rs
+++ b/src/leader/tasks/exits.rs
@@ -4,14 +4,12 @@
 use crate::leader::{CORRECTION_RECORD_INTERVAL, Leader};
 use crate::types::{AttemptId, Duration, MachineId, TaskId, Timestamp};
 use crate::wire::ExitReason;
-use crate::workers::{AttemptExit, DrainReason};
+use crate::workers::{AttemptExit, TaskFailure};
 use crate::write_ahead_log::LogRecord;
 use log::{debug, info};
 
 /// Number of machines on which a job must fail before its retries are delayed by a backoff.
 const FAILED_MACHINES_BEFORE_BACKOFF: usize = 3;
-/// Number of different jobs that must fail on a machine before it is quarantined, i.e. gets no further tasks.
-const FAILED_JOBS_BEFORE_QUARANTINE: usize = 2;
 /// Number of consecutive failures of a job without any success that show that the fault is in the job, not in the
 /// machine.
 const FAILURES_OF_FAULTY_JOB: u32 = 3;
@@ -76,8 +74,11 @@
     fn task_finished(&mut self, now: Timestamp, id: MachineId, exit: AttemptExit, was_assigned: bool) {
         let task = exit.id.task;
         let Some(machine) = self.machines.get_mut(&id) else { return };
+        if machine.record_success(exit.requested_at) {
+            self.note_passed_trial(id);
+        }
+        let Some(machine) = self.machines.get_mut(&id) else { return };
         let Some(job) = self.jobs.get_mut(task.job) else { return };
-        machine.failed_jobs.clear();
         job.consecutive_failures = 0;
         job.placements.remove(&task.index);
         let newly_finished = finish_tasks(job, task);
@@ -127,22 +128,19 @@
             job.failed_on.clear();
             self.planning.plans.unplan_job(task.job);
         }
-        self.quarantine_if_at_fault(id, task);
+        self.quarantine_if_at_fault(now, id, task);
     }
 
-    /// Quarantines a machine on which a task failed if the fault is in the machine: it is drained.
-    fn quarantine_if_at_fault(&mut self, id: MachineId, task: TaskId) {
+    /// Quarantines a machine on which a task failed if the fault is in the machine.
+    fn quarantine_if_at_fault(&mut self, now: Timestamp, id: MachineId, task: TaskId) {
         let Some(machine) = self.machines.get_mut(&id) else { return };
         let Some(job) = self.jobs.get(task.job) else { return };
-        let succeeded_elsewhere = !job.finished.is_empty();
-        let job_at_fault = !succeeded_elsewhere && job.consecutive_failures >= FAILURES_OF_FAULTY_JOB;
-        if !job_at_fault {
-            machine.failed_jobs.insert(task.job);
-        }
-        let machine_at_fault = succeeded_elsewhere || machine.failed_jobs.len() >= FAILED_JOBS_BEFORE_QUARANTINE;
-        if machine_at_fault && machine.draining.is_none() {
-            info!("machine quarantined machine={id} failed_jobs={}", machine.failed_jobs.len());
-            machine.draining = Some(DrainReason::FailingTasks);
+        let job_succeeded = !job.finished.is_empty();
+        let job_at_fault = !job_succeeded && job.consecutive_failures >= FAILURES_OF_FAULTY_JOB;
+        let failure = TaskFailure { job: task.job, job_succeeded, job_at_fault };
+        if let Some(trial_delay) = machine.record_failure(now, failure) {
+            let (failed_jobs, trial_in_s) = (machine.quarantine.failed_jobs(), trial_delay.as_secs_f64());
+            info!("machine quarantined machine={id} failed_jobs={failed_jobs} trial_in_s={trial_in_s}");
             self.planning.changed_machines.insert(id);
         }
     }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -10,6 +10,7 @@
 //! | `attempt` | state of one task attempt on a machine |
 //! | `machine` | state of a machine |
 //! | `message_position` | order of the messages of a worker |
+//! | `quarantine` | when a machine on which tasks fail gets tasks again |
 //! | `reconciliation` | updates the state of a machine from its worker's messages |
 //! | `commands` | builds commands and tracks direct commands |
 //! | `drain_reason` | reasons for which a machine gets no new tasks |
@@ -20,6 +21,7 @@
 mod drain_reason;
 mod machine;
 mod message_position;
+mod quarantine;
 mod reconciliation;
 mod stop_reason;
 
@@ -28,6 +30,7 @@
 pub use drain_reason::DrainReason;
 pub use machine::{InFlightCommand, Machine, Registration};
 pub use message_position::MessagePosition;
+pub use quarantine::{Quarantine, TRIAL_RUN_TIME, TaskFailure};
 pub use reconciliation::MachineEvent;
 pub use stop_reason::StopReason;
 
--- a/src/workers/machine.rs
+++ b/src/workers/machine.rs
@@ -3,6 +3,7 @@
 use super::attempt::TaskAttempt;
 use super::drain_reason::DrainReason;
 use super::message_position::MessagePosition;
+use super::quarantine::Quarantine;
 use crate::types::{AttemptId, Duration, FencingToken, JobId, MachineId, Resources, TaskId, Timestamp};
 use crate::write_ahead_log::MachineRecord;
 use std::collections::{BTreeMap, BTreeSet};
@@ -78,8 +79,8 @@
     pub draining: Option<DrainReason>,
     /// Since when it has been idle; `None` if it is not.
     pub idle_since: Option<Timestamp>,
-    /// Different jobs of which a task failed here since a task last succeeded.
-    pub failed_jobs: BTreeSet<JobId>,
+    /// Whether it is suspected because tasks failed on it.
+    pub quarantine: Quarantine,
 }
 
 impl Machine {
@@ -114,7 +115,7 @@
             unanswered_commands: 0,
             draining: None,
             idle_since: None,
-            failed_jobs: BTreeSet::new(),
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -123,13 +124,15 @@
         self.record.id
     }
 
-    /// Whether tasks may be started here: the machine is fenced and durably registered, and neither drained nor
-    /// reclaimed. Free resources are not considered.
+    /// Whether its tasks are known and its registration is durable.
+    pub fn is_ready(&self) -> bool {
+        self.fenced && self.registration == Registration::Durable
+    }
+
+    /// Whether tasks may be started here: the machine is ready, neither drained nor reclaimed, and no trial is in
+    /// progress. Free resources are not considered.
     pub fn accepts_tasks(&self) -> bool {
-        self.fenced
-            && self.registration == Registration::Durable
-            && self.draining.is_none()
-            && self.reclaim_at.is_none()
+        self.is_ready() && self.draining.is_none() && self.reclaim_at.is_none() && !self.is_being_tried()
     }
 
     /// Whether a response or command of this leader is known to have reached it within the last `within`.
--- a/src/workers/tests.rs
+++ b/src/workers/tests.rs
@@ -1,6 +1,8 @@
 use super::*;
 use crate::leadership::TermTokens;
-use crate::types::{AttemptId, AttemptNumber, FencingToken, MachineId, Resources, Revision, Timestamp, WallClock};
+use crate::types::{
+    AttemptId, AttemptNumber, Duration, FencingToken, MachineId, Resources, Revision, Timestamp, WallClock,
+};
 use crate::wire::{Heartbeat, WorkerCommand};
 use crate::write_ahead_log::MachineRecord;
 use serde_json::json;
@@ -315,3 +317,57 @@
         [MachineEvent::Fenced, MachineEvent::AttemptDiscovered { id: first_attempt(), has_ended: false }]
     );
 }
+
+fn failure(job: u64) -> TaskFailure {
+    let id = format!("job-{job:06}").parse().unwrap();
+    TaskFailure { job: id, job_succeeded: false, job_at_fault: false }
+}
+
+/// Begins the trial that is due `delay_s` after a quarantine at `quarantined_at`, and returns when it begins.
+fn begin_trial(machine: &mut Machine, quarantined_at: Timestamp, delay_s: u64) -> Timestamp {
+    let due = quarantined_at + Duration::from_secs(delay_s);
+    assert!(!machine.is_trial_due(due.saturating_sub(Duration::from_millis(1))) && !machine.accepts_tasks());
+    assert!(machine.is_trial_due(due));
+    machine.begin_trial(due);
+    due
+}
+
+/// Guards against a faulty machine that is trusted again for the success of a task from before its fault.
+#[test]
+fn only_a_task_of_the_trial_ends_a_quarantine() {
+    let mut machine = machine();
+    machine.fenced = true;
+    let failed_at = Timestamp::from_millis(60_000);
+    assert_eq!(machine.record_failure(failed_at, failure(1)), None);
+    assert!(machine.record_failure(failed_at, failure(2)).is_some());
+    let started_before = failed_at.saturating_sub(Duration::from_secs(1));
+    assert!(!machine.record_success(started_before) && !machine.accepts_tasks());
+    let trial_at = begin_trial(&mut machine, failed_at, 15);
+    assert!(!machine.record_success(started_before) && machine.accepts_tasks());
+    let attempt = attempt_with_requested_start("job-000001/0", None);
+    let tried = TaskAttempt { requested_at: trial_at, running_since: Some(trial_at), ..attempt };
+    machine.attempts.insert(first_attempt(), TaskAttempt { phase: AttemptPhase::Running, ..tried });
+    machine.last_message_at = (trial_at + TRIAL_RUN_TIME).saturating_sub(Duration::from_millis(1));
+    assert!(!machine.end_passed_trial() && !machine.accepts_tasks(), "one task at a time");
+    machine.last_message_at = trial_at + TRIAL_RUN_TIME;
+    assert!(machine.end_passed_trial() && machine.accepts_tasks());
+}
+
+/// Guards against trials that become too rare for the time for which a job may wait, or that do not become rarer.
+#[test]
+fn each_failed_trial_makes_the_next_quarantine_longer_up_to_a_maximum() {
+    let mut machine = machine();
+    machine.fenced = true;
+    let mut now = Timestamp::from_millis(60_000);
+    machine.record_failure(now, failure(1));
+    machine.record_failure(now, failure(2));
+    for delay_s in [15, 30, 40, 40] {
+        now = begin_trial(&mut machine, now, delay_s);
+        assert!(machine.record_failure(now, failure(3)).is_some(), "one failure is enough in a trial");
+    }
+    now = begin_trial(&mut machine, now, 40);
+    assert!(machine.record_success(now));
+    assert_eq!(machine.record_failure(now, failure(4)), None);
+    assert!(machine.record_failure(now, failure(5)).is_some());
+    begin_trial(&mut machine, now, 15);
+}
--- /dev/null
+++ b/tests/faulty_machines.rs
@@ -0,0 +1,102 @@
+//! Failures of tasks: a machine on which they fail is kept from work, and neither the machine nor the job on which a
+//! failure casts suspicion stays suspected for good. All cases play in a cloud that has no further machine.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::Simulation;
+
+/// Longest time for which a job may wait beside a machine with room once all troubles are over, in milliseconds.
+const MAX_WAIT_MS: u64 = 90_000;
+const SERVICE: &str = "job-000001";
+
+fn service(zone: &str) -> Vec<(&'static str, Value)> {
+    let shape = [("Shape", json!("standing")), ("Rank", json!("prod")), ("RuntimeS", json!(0))];
+    shape.into_iter().chain([("Pieces", json!(1)), ("Cores", json!(1.0)), ("Yard", json!(zone))]).collect()
+}
+
+fn batch(tasks: u64, run_s: f64) -> Vec<(&'static str, Value)> {
+    vec![("Pieces", json!(tasks)), ("Cores", json!(1.0)), ("RuntimeS", json!(run_s)), ("Yard", json!("a"))]
+}
+
+/// The cloud's only machine, four cores in zone a, on which a service runs.
+fn simulation_with_one_machine(seed: u64) -> (Simulation, u64) {
+    let mut sim = Simulation::new(seed);
+    sim.cloud.capacity = [(("a".to_string(), false), 1)].into();
+    sim.submit(SERVICE, &service("a"));
+    sim.run_until(20_000);
+    let machine = sim.machine_running("job-000001/0").expect("the service runs");
+    (sim, machine)
+}
+
+/// Submits two jobs that fail wherever they run, and cancels them once both have failed.
+fn fail_and_cancel_two_jobs(sim: &mut Simulation) {
+    let mistaken = ["job-000002", "job-000003"];
+    for id in mistaken {
+        sim.tasks.failing_jobs.insert(id.into());
+        sim.submit(id, &batch(1, 0.5));
+        sim.run_until(sim.now + 3000);
+    }
+    mistaken.iter().for_each(|id| sim.cancel(id));
+    sim.run_until(sim.now + 1000);
+}
+
+/// Ends all faults and checks that a job starts within the time for which it may wait, and then that no rule was
+/// broken and that the service ran all the time.
+fn assert_starts_in_time(sim: &mut Simulation, id: &str) {
+    sim.end_all_faults();
+    sim.run_until(sim.now + MAX_WAIT_MS);
+    assert!(sim.running_tasks(id) > 0 || sim.jobs[id].last_status == "done", "{id} waits beside a machine with room");
+    assert!(sim.violations.is_empty(), "{:?}", sim.violations);
+    assert_eq!(sim.tasks.starts["job-000001/0"].len(), 1, "the service was moved");
+}
+
+/// Number of tasks that have been started on a machine, except the service's.
+fn starts_on(sim: &Simulation, machine: u64) -> usize {
+    sim.tasks.starts.values().flatten().filter(|id| **id == machine).count() - 1
+}
+
+/// Guards against a sound machine that gets no task for good after two jobs with a mistake have failed there.
+#[test]
+fn a_sound_machine_takes_tasks_again_after_mistaken_jobs_have_failed_there() {
+    let (mut sim, _) = simulation_with_one_machine(1);
+    fail_and_cancel_two_jobs(&mut sim);
+    sim.submit("job-000004", &batch(1, 2.0));
+    assert_starts_in_time(&mut sim, "job-000004");
+}
+
+/// Guards against a gang, or a service, for which a machine in quarantine is never tried again.
+#[test]
+fn a_machine_in_quarantine_is_tried_with_whatever_waits_for_it() {
+    let gang = vec![("Shape", json!("group")), ("Pieces", json!(2)), ("Cores", json!(1.0)), ("RuntimeS", json!(5.0))];
+    for waiting in [gang, service("a")] {
+        let (mut sim, _) = simulation_with_one_machine(2);
+        fail_and_cancel_two_jobs(&mut sim);
+        sim.submit("job-000004", &waiting);
+        sim.submit("job-000005", &batch(1, 2.0));
+        assert_starts_in_time(&mut sim, "job-000004");
+        assert_eq!(sim.jobs["job-000005"].last_status, "done", "after the trial the machine takes all that fits");
+    }
+}
+
+/// Guards against work for a machine that really is faulty: after two failures it gets one task at a time, in
+/// trials that become rare.
+#[test]
+fn a_faulty_machine_is_kept_from_work_but_for_single_trials() {
+    let (mut sim, machine) = simulation_with_one_machine(3);
+    sim.workers.get_mut(&machine).expect("the machine").tasks_fail = true;
+    for id in 2..4 {
+        sim.submit(&format!("job-{id:06}"), &batch(1, 2.0));
+        sim.run_until(sim.now + 3000);
+    }
+    let quarantined_at = sim.now;
+    (4..8).for_each(|id| sim.submit(&format!("job-{id:06}"), &batch(4, 2.0)));
+    for (after_ms, starts) in [(8_000, 2), (25_000, 3), (60_000, 4), (100_000, 5), (300_000, 10)] {
+        sim.run_until(quarantined_at + after_ms);
+        let started = starts_on(&sim, machine);
+        assert!(started <= starts, "{started} tasks were started on a faulty machine within {after_ms} ms");
+    }
+    sim.workers.get_mut(&machine).expect("the machine").tasks_fail = false;
+    sim.submit("job-000008", &batch(1, 2.0));
+    assert_starts_in_time(&mut sim, "job-000008");
+}
