A job avoids a machine on which it failed for 45 s, not for good

Job::failed_on was cleared only when it held three machines, and a job for which fewer can be had never gets there; nor did it get a pause between its tries.

Change: a failure keeps the job off the machine for 45 s (FailedMachines), half of the 90 s for which a job may wait beside room. The pause after failures on three machines stays as it was. Tasks of the job that are queued on the machine on which one has failed are planned again at once; before, they stayed in a queue from which they could not start.

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -1,6 +1,6 @@
 //! A job that has not ended, and the placements of its tasks.
 
-use super::JobSpec;
+use super::{FailedMachines, JobSpec};
 use crate::gang::Gang;
 use crate::types::{AttemptId, MachineId, TaskIndexSet, Timestamp};
 use std::collections::BTreeMap;
@@ -44,8 +44,8 @@
     pub placements: BTreeMap<u32, Placement>,
     /// Whether a cancellation was requested and is not durable yet.
     pub cancelling: bool,
-    /// Machines on which tasks of the job failed since its last backoff.
-    pub failed_on: Vec<MachineId>,
+    /// Machines on which tasks of the job failed since its last backoff. The job avoids each of them for a while.
+    pub failed_on: FailedMachines,
     /// Consecutive failures of any of its tasks.
     pub consecutive_failures: u32,
     /// Time before which no task is started, as backoff after failures.
@@ -93,7 +93,7 @@
             durably_finished: TaskIndexSet::default(),
             placements: BTreeMap::new(),
             cancelling: false,
-            failed_on: Vec::new(),
+            failed_on: FailedMachines::default(),
             consecutive_failures: 0,
             retry_not_before: Timestamp::ZERO,
             last_planned_at: Timestamp::ZERO,
--- a/src/leader/drains/spare_capacity.rs
+++ b/src/leader/drains/spare_capacity.rs
@@ -139,7 +139,8 @@
     }
 
     fn allows(&self, job: &Job, machine: &MachineCapacity<'_>) -> bool {
-        job.spec.allows(machine.machine_type, machine.zone_name, false) && !job.failed_on.contains(&machine.id)
+        let is_avoided = job.failed_on.avoids(self.leader.planning.last_round_at, machine.id);
+        job.spec.allows(machine.machine_type, machine.zone_name, false) && !is_avoided
     }
 
     fn cancel(&mut self, reservations: Vec<Reservation>) {
--- a/src/leader/scheduling/planning_view.rs
+++ b/src/leader/scheduling/planning_view.rs
@@ -10,6 +10,8 @@
     cloud: &'a cloud::CloudInstances,
     correction: Correction,
     names: &'a NameInterner,
+    /// When the current round of planning began.
+    round_at: Timestamp,
 }
 
 impl Leader {
@@ -21,17 +23,18 @@
             cloud: &self.cloud,
             correction: self.planning.correction,
             names: &self.planning.names,
+            round_at: self.planning.last_round_at,
         }
     }
 }
 
 impl PlanningView<'_> {
-    /// Whether the job's constraints on machine type, zone and spot instances allow this machine, and none of its tasks
-    /// has failed there. False for an unknown machine.
+    /// Whether the job's constraints on machine type, zone and spot instances allow this machine, and the job does not
+    /// avoid it after a failure there. False for an unknown machine.
     pub(crate) fn allows_machine(&self, job: &Job, id: MachineId) -> bool {
         let Some(machine) = self.machines.get(&id) else { return false };
         let record = &machine.record;
-        job.spec.allows(&record.machine_type, &record.zone, record.spot) && !job.failed_on.contains(&id)
+        job.spec.allows(&record.machine_type, &record.zone, record.spot) && !job.failed_on.avoids(self.round_at, id)
     }
 
     /// Number of a job's tasks that run, or may run, in each zone, by zone index.
@@ -49,7 +52,7 @@
     /// The machines on which a job's tasks may run, and their predicted duration by machine type. A gang also avoids
     /// machines that still hold attempts of it, because their workers refuse another attempt of the same task.
     pub(crate) fn job_profile(&self, job: &Job) -> JobProfile {
-        let mut avoided_machines = job.failed_on.clone();
+        let mut avoided_machines: Vec<MachineId> = job.failed_on.avoided(self.round_at).collect();
         if let Some(gang) = &job.gang {
             let still_holds =
                 |id: &&MachineId| self.machines.get(id).is_some_and(|machine| machine.holds_job(job.spec.id));
--- a/src/leader/tasks/exits.rs
+++ b/src/leader/tasks/exits.rs
@@ -120,10 +120,9 @@
         let ran_s = exit.running_since.map_or(0.0, |since| now.since(since).as_secs_f64());
         info!("task failed task={task} machine={id} ran_s={ran_s}");
         job.consecutive_failures += 1;
-        if !job.failed_on.contains(&id) {
-            job.failed_on.push(id);
-        }
-        if job.failed_on.len() >= FAILED_MACHINES_BEFORE_BACKOFF {
+        job.failed_on.add(now, id);
+        self.planning.plans.unplan_from(id, task.job);
+        if job.failed_on.count() >= FAILED_MACHINES_BEFORE_BACKOFF {
             job.retry_not_before = now + failure_backoff(job.consecutive_failures);
             job.failed_on.clear();
             self.planning.plans.unplan_job(task.job);
--- a/src/plan/queues.rs
+++ b/src/plan/queues.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Removes all of a job's tasks from one machine's queue.
+    pub(crate) fn unplan_from(&mut self, id: MachineId, job: JobId) {
+        while let Some(position) = self.machines.get(&id).and_then(|machine| machine.last_position_of(job)) {
+            self.dequeue_one(id, position);
+        }
+    }
+
     /// Removes all of a job's tasks from all queues.
     pub fn unplan_job(&mut self, job: JobId) {
         let Some(planned) = self.planned_jobs.remove(&job) else { return };
--- a/tests/faulty_machines.rs
+++ b/tests/faulty_machines.rs
@@ -100,3 +100,15 @@
     sim.submit("job-000008", &batch(1, 2.0));
     assert_starts_in_time(&mut sim, "job-000008");
 }
+
+/// Guards against a job that is never tried again on the only machine that fits, because a task of it failed there.
+#[test]
+fn a_job_is_tried_again_on_the_machine_on_which_it_failed() {
+    let (mut sim, machine) = simulation_with_one_machine(4);
+    sim.workers.get_mut(&machine).expect("the machine").tasks_fail = true;
+    sim.submit("job-000002", &batch(2, 2.0));
+    sim.run_until(sim.now + 3000);
+    assert!(starts_on(&sim, machine) >= 1, "no task has failed");
+    sim.workers.get_mut(&machine).expect("the machine").tasks_fail = false;
+    assert_starts_in_time(&mut sim, "job-000002");
+}
