A job that avoids machines is no measure for other jobs in a round of planning

Cause: what one job's failure says about a machine was applied to other jobs. The earlier job avoids the machine and finds no other; the round then skips all jobs like it that need as much or more (UnplaceableTasks::covers), although the machine is open to them.

Change: only a job that avoids no machine is taken as a measure. Jobs that avoid one cost a search of their own in each round, within the round's evaluation budget.

--- a/src/leader/scheduling/unplanned_jobs.rs
+++ b/src/leader/scheduling/unplanned_jobs.rs
@@ -189,6 +189,8 @@
             }
             progress.evaluations += machine_count;
             let (resources, allows_spot, is_service) = (job.spec.resources, job.spec.allows_spot, job.spec.is_service);
+            // What this job avoids after its failures may be open to the next one.
+            let tries_all_machines = runs_anywhere && !job.failed_on.avoids_any(now);
             let entry = queue_entry(job, &self.planning.latency_sensitive_classes);
             if entry.is_gang {
                 self.plan_gang(now, entry);
@@ -196,7 +198,7 @@
             }
             let wanted = tasks.count.min(MAX_TASKS_PER_PLACEMENT);
             let placed = self.place(now, entry, wanted);
-            if placed < wanted && runs_anywhere && !entry.has_zone_constraints {
+            if placed < wanted && tries_all_machines && !entry.has_zone_constraints {
                 progress.unplaceable.push(UnplaceableTasks { resources, allows_spot, is_service });
             }
         }
--- a/tests/faulty_machines.rs
+++ b/tests/faulty_machines.rs
@@ -112,3 +112,18 @@
     sim.workers.get_mut(&machine).expect("the machine").tasks_fail = false;
     assert_starts_in_time(&mut sim, "job-000002");
 }
+
+/// Guards against a job that is left out of planning because an earlier one, which avoids a machine, found no place.
+#[test]
+fn a_job_that_avoids_a_machine_keeps_no_other_job_from_it() {
+    let (mut sim, machine) = simulation_with_one_machine(5);
+    sim.tasks.failing_jobs.insert("job-000002".into());
+    let anywhere = [("Pieces", json!(1)), ("Cores", json!(1.0)), ("RuntimeS", json!(0.5))];
+    sim.submit("job-000002", &anywhere);
+    sim.run_until(sim.now + 3000);
+    assert_eq!(starts_on(&sim, machine), 1, "the first job has failed");
+    sim.submit("job-000003", &anywhere);
+    sim.run_until(sim.now + 10_000);
+    assert_eq!(sim.jobs["job-000003"].last_status, "done", "nothing speaks against the machine or the second job");
+    assert!(sim.violations.is_empty(), "{:?}", sim.violations);
+}
