--- a/tests/faulty_machines.rs
+++ b/tests/faulty_machines.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use proptest::prelude::*;
 use serde_json::{Value, json};
 use support::Simulation;
 
@@ -127,3 +128,49 @@
     assert_eq!(sim.jobs["job-000003"].last_status, "done", "nothing speaks against the machine or the second job");
     assert!(sim.violations.is_empty(), "{:?}", sim.violations);
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(55),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against any order of mistaken jobs, cancellations and faults of machines after which a sound job waits
+    /// beside a machine with room.
+    #[test]
+    fn no_order_of_failures_leaves_a_sound_job_waiting(
+        seed in 0u64..1000,
+        steps in proptest::collection::vec((0u64..12_000, 0u8..5, 0u64..8), 10..40),
+    ) {
+        let (mut sim, _) = simulation_with_one_machine(seed);
+        sim.cloud.capacity.insert(("b".into(), false), seed as u32 % 2);
+        let mut mistaken = Vec::new();
+        for (number, (pause_ms, action, choice)) in (100..).zip(steps) {
+            let id = format!("job-{number:06}");
+            let zone = [json!("a"), Value::Null][choice as usize % 2].clone();
+            let run_s = 0.5 + 4.0 * choice as f64;
+            let fields = [("Pieces", json!(1 + choice % 3)), ("Cores", json!(1.0)), ("Yard", zone), ("RuntimeS", json!(run_s))];
+            match action {
+                0 | 1 => sim.submit(&id, &fields),
+                2 => {
+                    sim.tasks.failing_jobs.insert(id.clone());
+                    sim.submit(&id, &fields);
+                    mistaken.push(id);
+                }
+                3 => mistaken.pop().iter().for_each(|id| sim.cancel(id)),
+                _ => sim.workers.values_mut().take(1 + choice as usize % 2).for_each(|w| w.tasks_fail = choice < 4),
+            }
+            sim.run_until(sim.now + pause_ms);
+        }
+        sim.workers.values_mut().for_each(|worker| worker.tasks_fail = false);
+        mistaken.iter().for_each(|id| sim.cancel(id));
+        sim.end_all_faults();
+        sim.run_until(sim.now + 400_000);
+        prop_assert!(sim.violations.is_empty(), "{:?}", sim.violations.first());
+        for (id, job) in sim.jobs.iter().filter(|(id, _)| *id != SERVICE) {
+            prop_assert!(["done", "aborted"].contains(&job.last_status.as_str()), "{id} is {}", job.last_status);
+        }
+    }
+}
