Modules of their own for failed tasks and for probes

exits.rs had the ends of attempts and what is concluded from failures, health_check.rs the check, the probes and the trials of machines in quarantine. Moved without a change: tasks/failures.rs and failure_detection/probes.rs.

--- a/src/leader/failure_detection.rs
+++ b/src/leader/failure_detection.rs
@@ -4,10 +4,12 @@
 //! | --- | --- |
 //! | `isolation` | whether this node reaches any worker |
 //! | `zones` | zones that are unreachable as a whole |
-//! | `health_check` | lost attempts, and machines to probe or to release |
+//! | `health_check` | lost attempts, and machines to probe, to try or to release |
+//! | `probes` | whether machines respond to direct commands |
 
 mod health_check;
 mod isolation;
+mod probes;
 mod zones;
 
 pub(super) use isolation::WorkerReachability;
--- a/src/leader/failure_detection/health_check.rs
+++ b/src/leader/failure_detection/health_check.rs
@@ -1,5 +1,6 @@
 //! The periodic health check of all machines: it gives up lost attempts, sends probes, and releases machines.
 
+use super::probes::Probes;
 use super::zones::ZoneHealth;
 use super::{TWO_COMMAND_TIMEOUTS, UNREACHABLE_AFTER_COMMANDS};
 use crate::effects::Effect;
@@ -11,8 +12,6 @@
 
 /// Age of a direct command after which its response can no longer arrive.
 const COMMAND_EXPIRY: Duration = Duration::from_millis(COMMAND_TIMEOUT.as_millis() + 500);
-/// Minimum interval between two probes of a machine.
-const PROBE_INTERVAL: Duration = Duration::from_millis(800);
 /// Time without any newly fenced machine after which unfenced machines are considered unresponsive. Before that they
 /// may only be slow, or this process may be.
 const FENCING_QUIET_PERIOD: Duration = Duration::from_secs(1);
@@ -120,33 +119,6 @@
     (machine.fenced && !machine.is_occupied()).then_some(reason)
 }
 
-/// A machine that may be probed with a direct command. Candidates are ordered by the time of their last probe, oldest
-/// first.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ProbeCandidate {
-    last_probe_at: Timestamp,
-    machine: MachineId,
-}
-
-/// Probes of machines that do not respond.
-#[derive(Debug, Default)]
-struct Probes {
-    /// Machines that may be probed now.
-    candidates: Vec<ProbeCandidate>,
-    /// Number of machines to which a command is already in flight.
-    in_flight: usize,
-}
-
-impl Probes {
-    fn add(&mut self, now: Timestamp, machine: &Machine) {
-        if machine.in_flight_command.is_some() {
-            self.in_flight += 1;
-        } else if now.since(machine.last_probe_at) >= PROBE_INTERVAL {
-            self.candidates.push(ProbeCandidate { last_probe_at: machine.last_probe_at, machine: machine.id() });
-        }
-    }
-}
-
 /// Gives up a machine's direct command if its response can no longer arrive.
 fn expire_command(now: Timestamp, machine: &mut Machine) {
     if let Some(command) = machine.in_flight_command
@@ -253,24 +225,6 @@
         self.send_probes(now, findings.probes, out);
     }
 
-    /// Begins the trials of machines whose quarantine is over, except of those that are being released.
-    fn begin_trials(&mut self, now: Timestamp, due: Vec<MachineId>) {
-        for id in due.into_iter().filter(|id| !self.cloud.is_releasing(*id)) {
-            let Some(machine) = self.machines.get_mut(&id) else { continue };
-            machine.begin_trial(now);
-            info!("machine trial begun machine={id}");
-            self.planning.changed_machines.insert(id);
-            self.planning.replan_needed = true;
-        }
-    }
-
-    /// Plans further tasks for a machine that has passed its trial.
-    pub(in crate::leader) fn note_passed_trial(&mut self, id: MachineId) {
-        info!("machine trial passed machine={id}");
-        self.planning.changed_machines.insert(id);
-        self.planning.replan_needed = true;
-    }
-
     /// Marks a machine as draining, discards its plan and requests its release from the cloud.
     fn release_machine(&mut self, id: MachineId, reason: DrainReason) {
         if let Some(machine) = self.machines.get_mut(&id) {
@@ -279,17 +233,4 @@
         self.planning.plans.remove_machine(id);
         self.cloud.release(id, reason);
     }
-
-    /// Sends probes to machines that do not respond. Probes use at most half of the limit of commands in flight: when
-    /// many machines became silent at once, starts on the other machines were queued behind their probes.
-    fn send_probes(&mut self, now: Timestamp, mut probes: Probes, out: &mut Vec<Effect>) {
-        probes.candidates.sort_unstable();
-        let max_commands = self.max_commands_in_flight();
-        let max_probes = (max_commands / 2).saturating_sub(probes.in_flight);
-        for candidate in probes.candidates.into_iter().take(max_probes) {
-            if self.command_dispatch.in_flight() < max_commands {
-                self.send_direct_command(now, candidate.machine, true, out);
-            }
-        }
-    }
 }
--- a/src/leader/tasks.rs
+++ b/src/leader/tasks.rs
@@ -2,6 +2,7 @@
 
 mod adoption;
 mod exits;
+mod failures;
 
 pub(super) use exits::UnconfirmedFinish;
 
