A trial ends by the evidence that closed the machine, not by any failure

Cause: in the first form one failure of any job closed a machine on trial again. If jobs with a mistake are not cancelled, each of them can take the next trial and fail it, and a sound job that has failed before goes on waiting beside room: the conclusion ended, but the next one came from the same jobs.

Change: in a trial the same evidence counts as at first, collected anew: failures of two jobs, jobs at fault left out, or one of a job that has succeeded. A task that finishes while the machine is closed, and was started after its last trial, ends the growth of the delays.

Price: a faulty machine gets two starts in each trial, and one every 45 s of each job that has failed three times without a success.

--- a/src/workers/quarantine.rs
+++ b/src/workers/quarantine.rs
@@ -2,7 +2,8 @@
 //!
 //! The failure of a task does not tell whether the machine or the job is at fault. A machine that is suspected gets no
 //! tasks, but that also prevents the success that would clear it. So each quarantine ends with a trial: the machine
-//! gets one task, or the tasks of one gang. If a task fails in the trial, the next quarantine is longer.
+//! gets one task at a time, or the tasks of one gang, until one succeeds. The same evidence as at first closes it again,
+//! each time for longer.
 
 use super::{AttemptPhase, DrainReason, Machine, TaskAttempt};
 use crate::jobs::Job;
@@ -32,7 +33,7 @@
     Trusted,
     /// It gets no tasks until this time.
     Quarantined { until: Timestamp },
-    /// It gets the tasks of one start; they show whether it is sound.
+    /// It gets one task at a time, or the tasks of one gang; they show whether it is sound.
     OnTrial { since: Timestamp },
 }
 
@@ -42,7 +43,7 @@
     trust: Trust,
     /// Different jobs of which a task failed on the machine since a task last succeeded or a trial began.
     failed_jobs: BTreeSet<JobId>,
-    /// Number of quarantines since a task last finished that was started in or after a trial.
+    /// Number of quarantines since a task last finished that was started in or after the last trial.
     count: u32,
     /// When the last trial began.
     last_trial_at: Timestamp,
@@ -83,8 +84,7 @@
     }
 
     fn is_evidence_of_fault(&self, failure: TaskFailure) -> bool {
-        let enough_jobs_failed = self.failed_jobs.len() >= FAILED_JOBS_BEFORE_QUARANTINE;
-        failure.job_succeeded || enough_jobs_failed || self.is_on_trial()
+        failure.job_succeeded || self.failed_jobs.len() >= FAILED_JOBS_BEFORE_QUARANTINE
     }
 
     fn next_trial_delay(&self) -> Duration {
@@ -117,7 +117,12 @@
     /// Records that a task has finished whose start was requested at this time. Returns whether this ends a trial.
     pub fn record_success(&mut self, requested_at: Timestamp) -> bool {
         self.quarantine.failed_jobs.clear();
-        if matches!(self.quarantine.trust, Trust::Quarantined { .. }) || requested_at < self.quarantine.last_trial_at {
+        if requested_at < self.quarantine.last_trial_at {
+            return false;
+        }
+        if matches!(self.quarantine.trust, Trust::Quarantined { .. }) {
+            // The machine was sound when the task was started, but may have become faulty since then.
+            self.quarantine.count = 1;
             return false;
         }
         let ends_trial = self.quarantine.is_on_trial();
