Known red: many mistaken jobs that stay can keep a sound job waiting on the only machine

Seven jobs with a mistake that are not cancelled, on the only machine of the cloud, which was faulty for a while: each pair of their first three failures closes the machine once more, and a sound job that had failed in the faulty spell waits over 90 s. Nothing lasts: a job closes no machine after its third failure.

--- a/tests/faulty_machines.rs
+++ b/tests/faulty_machines.rs
@@ -133,6 +133,54 @@
     assert!(sim.violations.is_empty(), "{:?}", sim.violations);
 }
 
+/// Plays steps of a pause in milliseconds, an action and a choice: sound and mistaken jobs are submitted, mistaken ones
+/// cancelled, machines turn faulty or sound. Returns the mistaken jobs that stay after all machines are sound.
+fn play(sim: &mut Simulation, steps: &[(u64, u8, u64)], mistaken_are_cancelled: bool) -> Vec<String> {
+    let mut mistaken = Vec::new();
+    for (number, (pause_ms, action, choice)) in (100..).zip(steps) {
+        let id = format!("job-{number:06}");
+        let zone = [json!("a"), Value::Null][*choice as usize % 2].clone();
+        let run_s = 0.5 + 4.0 * *choice as f64;
+        let size = [("Pieces", json!(1 + choice % 3)), ("Cores", json!(1.0))];
+        let fields: Vec<_> = size.into_iter().chain([("Yard", zone), ("RuntimeS", json!(run_s))]).collect();
+        match action {
+            0 | 1 => sim.submit(&id, &fields),
+            2 => {
+                sim.tasks.failing_jobs.insert(id.clone());
+                sim.submit(&id, &fields);
+                mistaken.push(id);
+            }
+            3 => mistaken.pop().iter().for_each(|id| sim.cancel(id)),
+            _ => sim.workers.values_mut().take(1 + *choice as usize % 2).for_each(|w| w.tasks_fail = *choice < 4),
+        }
+        sim.run_until(sim.now + pause_ms);
+    }
+    sim.workers.values_mut().for_each(|worker| worker.tasks_fail = false);
+    if mistaken_are_cancelled {
+        mistaken.drain(..).for_each(|id| sim.cancel(&id));
+    }
+    sim.end_all_faults();
+    sim.run_until(sim.now + 400_000);
+    mistaken
+}
+
+/// The first broken invariant that is not about one of these jobs.
+fn violation_of_others<'a>(sim: &'a Simulation, mistaken: &[String]) -> Option<&'a String> {
+    sim.violations.iter().find(|violation| !mistaken.iter().any(|id| violation.contains(id.as_str())))
+}
+
+/// Guards against a sound job that waits beside room since many mistaken jobs, which stay, fail the trials of the only
+/// machine. Found by 1,500 drawn cases with seed 61.
+#[test]
+fn many_mistaken_jobs_that_stay_leave_no_sound_job_waiting() {
+    let (mut sim, _) = simulation_with_one_machine(84);
+    let first = [(1640, 2, 2), (2580, 2, 0), (3131, 2, 0), (8425, 2, 0), (0, 3, 0), (0, 4, 0), (1323, 2, 0)];
+    let second = [(6782, 2, 0), (3002, 0, 6), (5664, 2, 1), (7682, 0, 1), (7641, 0, 4), (4459, 0, 2), (9721, 0, 0)];
+    let third = [(3883, 2, 0), (3841, 0, 0), (4062, 0, 0), (214, 4, 0), (1966, 3, 0), (6085, 0, 0)];
+    let mistaken = play(&mut sim, &[&first[..], &second, &third].concat(), false);
+    assert_eq!(violation_of_others(&sim, &mistaken), None);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 60,
@@ -151,32 +199,8 @@
     ) {
         let (mut sim, _) = simulation_with_one_machine(seed);
         sim.cloud.capacity.insert(("b".into(), false), seed as u32 % 2);
-        let mut mistaken = Vec::new();
-        for (number, (pause_ms, action, choice)) in (100..).zip(steps) {
-            let id = format!("job-{number:06}");
-            let zone = [json!("a"), Value::Null][choice as usize % 2].clone();
-            let run_s = 0.5 + 4.0 * choice as f64;
-            let fields = [("Pieces", json!(1 + choice % 3)), ("Cores", json!(1.0)), ("Yard", zone), ("RuntimeS", json!(run_s))];
-            match action {
-                0 | 1 => sim.submit(&id, &fields),
-                2 => {
-                    sim.tasks.failing_jobs.insert(id.clone());
-                    sim.submit(&id, &fields);
-                    mistaken.push(id);
-                }
-                3 => mistaken.pop().iter().for_each(|id| sim.cancel(id)),
-                _ => sim.workers.values_mut().take(1 + choice as usize % 2).for_each(|w| w.tasks_fail = choice < 4),
-            }
-            sim.run_until(sim.now + pause_ms);
-        }
-        sim.workers.values_mut().for_each(|worker| worker.tasks_fail = false);
-        if mistaken_are_cancelled {
-            mistaken.drain(..).for_each(|id| sim.cancel(&id));
-        }
-        sim.end_all_faults();
-        sim.run_until(sim.now + 400_000);
-        let is_of_sound_job = |violation: &&String| !mistaken.iter().any(|id| violation.contains(id.as_str()));
-        prop_assert_eq!(sim.violations.iter().find(is_of_sound_job), None);
+        let mistaken = play(&mut sim, &steps, mistaken_are_cancelled);
+        prop_assert_eq!(violation_of_others(&sim, &mistaken), None);
         for (id, job) in sim.jobs.iter().filter(|(id, _)| mistaken_are_cancelled && *id != SERVICE) {
             prop_assert!(["done", "aborted"].contains(&job.last_status.as_str()), "{id} is {}", job.last_status);
         }
